--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,48 @@
+import neostandard from 'neostandard'
+import jsdoc from 'eslint-plugin-jsdoc'
+import tsdoc from 'eslint-plugin-tsdoc'
+
+const inputAndOutput = [
+  'fs', 'net', 'http', 'https', 'timers', 'child_process', 'dgram', 'worker_threads', 'os', 'process'
+].flatMap((name) => [name, `node:${name}`, `node:${name}/promises`])
+
+const publicContexts = [
+  'ExportNamedDeclaration > FunctionDeclaration',
+  'ExportNamedDeclaration > ClassDeclaration',
+  'ExportNamedDeclaration > TSInterfaceDeclaration',
+  'ExportNamedDeclaration > TSTypeAliasDeclaration',
+  'ExportNamedDeclaration > TSEnumDeclaration',
+  'ExportNamedDeclaration:has(> VariableDeclaration)'
+]
+
+export default [
+  ...neostandard({ ts: true, ignores: ['node_modules', 'dist', 'src/wire/generated', 'schemas'] }),
+  {
+    files: ['src/**/*.ts', 'stand-ins/**/*.ts'],
+    plugins: { jsdoc, tsdoc },
+    settings: { jsdoc: { mode: 'typescript' } },
+    rules: {
+      'tsdoc/syntax': 'error',
+      'jsdoc/require-jsdoc': ['error', {
+        contexts: publicContexts, require: { FunctionDeclaration: false }, enableFixer: false
+      }],
+      'jsdoc/require-param': ['error', { contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
+      'jsdoc/require-returns': ['error', { contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
+      'jsdoc/check-param-names': 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }]
+    }
+  },
+  {
+    files: ['src/core/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        paths: inputAndOutput.map((name) => ({ name, message: 'The core has no input or output.' })),
+        patterns: ['../control/*', '../entry/*', '../agent/*', '../command/*', '../wire/*', '@grpc/*', '@nestjs/*', 'undici']
+      }],
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'process', 'fetch'],
+      'no-restricted-properties': ['error',
+        { object: 'Date', property: 'now', message: 'Time comes in with the transaction.' },
+        { object: 'Math', property: 'random', message: 'Randomness comes in with the transaction.' }]
+    }
+  }
+]
--- /dev/null
+++ b/scripts/count-tests.mjs
@@ -0,0 +1,6 @@
+// Prints the plain closing line of a test run, and the known failures listed in KNOWN-RED.txt.
+import { existsSync, readFileSync } from 'node:fs'
+
+const report = JSON.parse(readFileSync('dist/tests.json', 'utf8'))
+if (existsSync('KNOWN-RED.txt')) console.log(readFileSync('KNOWN-RED.txt', 'utf8'))
+console.log(`${report.numPassedTests} passed, ${report.numFailedTests} failed, ${report.numPendingTests} skipped`)
--- /dev/null
+++ b/src/core/index.ts
@@ -0,0 +1,6 @@
+export * from './verdict'
+export * from './document'
+export * from './job'
+export * from './worker'
+export * from './transaction'
+export * from './state'
--- /dev/null
+++ b/src/core/job.ts
@@ -0,0 +1,121 @@
+import type { JobSpecification } from './document'
+import type { Verdict } from './verdict'
+
+/** Where a job is in its life. Each move is an entry of the log. */
+export enum JobState {
+  Queued = 'queued',
+  Reserved = 'reserved',
+  Running = 'running',
+  Stopping = 'stopping',
+  Finished = 'finished',
+  Failed = 'failed',
+  Cancelled = 'cancelled'
+}
+
+/** Why something was decided on a job. */
+export enum Reason {
+  Submitted = 'submitted',
+  Declared = 'declared',
+  OwnGuarantee = 'own-guarantee',
+  FairShare = 'fair-share',
+  Borrowed = 'borrowed',
+  Backfill = 'backfill',
+  AllMembersGranted = 'all-members-granted',
+  MemberRefused = 'member-refused',
+  ReservationTimedOut = 'reservation-timed-out',
+  Reclaimed = 'reclaimed',
+  MadeRoomForUrgent = 'made-room-for-urgent',
+  MemberLost = 'member-lost',
+  WorkerLeaving = 'worker-leaving',
+  CancelledByCaller = 'cancelled-by-caller',
+  RemovedFromDocument = 'removed-from-document',
+  AccountRemoved = 'account-removed',
+  DeadlinePassed = 'deadline-passed',
+  TargetFailed = 'target-failed',
+  PlatformFailed = 'platform-failed',
+  OverMemory = 'over-memory',
+  FailedOnDistinctWorkers = 'failed-on-distinct-workers',
+  AttemptsUsedUp = 'attempts-used-up',
+  MayHaveRun = 'may-have-run',
+  AnswerStored = 'answer-stored',
+  Checkpointed = 'checkpointed',
+  Stopped = 'stopped',
+  NotStarted = 'not-started',
+  ImpossibleShape = 'impossible-shape'
+}
+
+/** A body with its digest. */
+export interface Content {
+  readonly contentType: string
+  readonly base64: string
+  /** SHA-256 of the body, in hexadecimal. */
+  readonly digest: string
+}
+
+/** One worker's part of an attempt. */
+export interface Member {
+  readonly worker: string
+  /** The incarnation of the worker's agent that granted, or is asked to grant, the reservation. */
+  readonly incarnation: string
+  /** Bit i set: accelerator i of the row. Set bits are adjacent. */
+  readonly mask: number
+}
+
+/** One try at running a job. */
+export interface Attempt {
+  readonly number: number
+  readonly members: readonly Member[]
+  readonly reason: Reason
+  /** Milliseconds since the epoch. */
+  readonly reservedAt: number
+  /** 0 until the start is in the log. From then on the job may have run. */
+  readonly startedAt: number
+  /** Accelerators lie on another account's home. */
+  readonly borrowing: boolean
+  /** 0 until the stop is in the log. */
+  readonly stoppingAt: number
+  readonly stopReason?: Reason
+  /** Members whose agent has said that nothing of the attempt runs there any more. */
+  readonly ended: readonly string[]
+}
+
+/** How a job ended. */
+export interface JobEnd {
+  readonly verdict: Verdict
+  readonly reason: Reason
+  readonly message: string
+  readonly at: number
+  readonly answer?: Content
+}
+
+/** A caller's request or a declared job. */
+export interface Job {
+  readonly identifier: string
+  readonly specification: JobSpecification
+  /** SHA-256 of the specification: the same identifier with another digest is an error. */
+  readonly digest: string
+  readonly declared: boolean
+  readonly state: JobState
+  readonly acceptedAt: number
+  /** Number of the last attempt, 0 before the first. */
+  readonly attempts: number
+  /** Present in the states reserved, running and stopping. */
+  readonly attempt?: Attempt
+  /** Not before this time, in milliseconds since the epoch (retry backoff). */
+  readonly notBefore: number
+  /** Distinct workers on which an attempt failed. */
+  readonly failedOn: readonly string[]
+  /** Memory that a run was seen to need, in megabytes; 0 where nothing is known. */
+  readonly learnedMemory: number
+  readonly cancelRequested: boolean
+  readonly end?: JobEnd
+}
+
+/**
+ * Tells whether a job has ended.
+ * @param job - the job
+ * @returns true in an end state
+ */
+export function hasEnded (job: Job): boolean {
+  return job.end !== undefined
+}
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,56 @@
+import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
+import { emptyDocument, type Document, type Section } from './document'
+import type { Job } from './job'
+import type { Worker } from './worker'
+
+/** The first answer to a configuration request, kept so that a resend gets it again. */
+export interface StoredPut {
+  readonly requestIdentifier: string
+  /** SHA-256 of team, numbers and sections. */
+  readonly digest: string
+  /** The number of the whole document after the put. */
+  readonly number: number
+  readonly at: number
+}
+
+/** The document in force, with its numbers. */
+export interface ConfigurationState {
+  /** Number of the whole document; goes up by one with each accepted put. */
+  readonly number: number
+  readonly sectionNumbers: ImmutableMap<Section, number>
+  readonly document: Document
+  readonly puts: ImmutableMap<string, StoredPut>
+}
+
+/** The head of the hash-chained record. */
+export interface RecordHead {
+  readonly sequence: number
+  /** SHA-256 of the last line chained with the one before it, in hexadecimal. */
+  readonly digest: string
+}
+
+/** Everything the log decides. Only apply makes a new one. */
+export interface State {
+  /** Time of the newest transaction, in milliseconds since the epoch. */
+  readonly time: number
+  readonly configuration: ConfigurationState
+  readonly workers: ImmutableMap<string, Worker>
+  /** All jobs, the ended ones until their retention is over. */
+  readonly jobs: ImmutableMap<string, Job>
+  /** Identifiers of jobs that have not ended. */
+  readonly open: ImmutableSet<string>
+  /** Identifiers of declared jobs that have ended and must not run again. */
+  readonly spent: ImmutableSet<string>
+  readonly record: RecordHead
+}
+
+/** The state before the first entry. */
+export const initialState: State = {
+  time: 0,
+  configuration: { number: 0, sectionNumbers: ImmutableMap(), document: emptyDocument, puts: ImmutableMap() },
+  workers: ImmutableMap(),
+  jobs: ImmutableMap(),
+  open: ImmutableSet(),
+  spent: ImmutableSet(),
+  record: { sequence: 0, digest: '0'.repeat(64) }
+}
--- /dev/null
+++ b/src/wire/index.ts
@@ -0,0 +1,1 @@
+export * from './generated/control'
