--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,8 +26,8 @@
       'jsdoc/require-jsdoc': ['error', {
         contexts: publicContexts, require: { FunctionDeclaration: false }, enableFixer: false
       }],
-      'jsdoc/require-param': ['error', { contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
-      'jsdoc/require-returns': ['error', { contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
+      'jsdoc/require-param': ['error', { enableFixer: false, contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
+      'jsdoc/require-returns': ['error', { enableFixer: false, contexts: ['ExportNamedDeclaration > FunctionDeclaration'] }],
       'jsdoc/check-param-names': 'error',
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }]
     }
--- /dev/null
+++ b/src/core/apply.ts
@@ -0,0 +1,54 @@
+import type { Result } from 'neverthrow'
+import { putConfiguration } from './configuration'
+import { Draft } from './draft'
+import type { Effect } from './effect'
+import { acceptJob, cancelJobs, endAttempt, endJobs, expire, finishJob, refuse, releaseJob, reserveJob, startJob, stopJob } from './jobs'
+import type { RecordLine } from './record'
+import type { State } from './state'
+import { TransactionKind, type Transaction } from './transaction'
+import type { Refusal } from './verdict'
+import { announceWorker, leaveWorker, loseWorker } from './workers'
+
+/** What one entry of the log did. */
+export interface Applied {
+  readonly state: State
+  readonly effects: readonly Effect[]
+  readonly lines: readonly RecordLine[]
+  /** A refused transaction leaves the state as it was. */
+  readonly outcome: Result<void, Refusal>
+}
+
+type Handler<Kind extends TransactionKind> =
+  (draft: Draft, transaction: Extract<Transaction, { kind: Kind }>) => Result<void, Refusal>
+
+const handlers: { readonly [Kind in TransactionKind]: Handler<Kind> } = {
+  [TransactionKind.PutConfiguration]: putConfiguration,
+  [TransactionKind.AnnounceWorker]: announceWorker,
+  [TransactionKind.LoseWorker]: loseWorker,
+  [TransactionKind.LeaveWorker]: leaveWorker,
+  [TransactionKind.AcceptJob]: acceptJob,
+  [TransactionKind.ReserveJob]: reserveJob,
+  [TransactionKind.ReleaseJob]: releaseJob,
+  [TransactionKind.StartJob]: startJob,
+  [TransactionKind.StopJob]: stopJob,
+  [TransactionKind.EndAttempt]: endAttempt,
+  [TransactionKind.FinishJob]: finishJob,
+  [TransactionKind.CancelJobs]: cancelJobs,
+  [TransactionKind.EndJobs]: endJobs,
+  [TransactionKind.Refuse]: refuse,
+  [TransactionKind.Expire]: expire
+}
+
+/**
+ * Applies one entry of the log. The same entries in the same order give the same state on every host.
+ * @param state - the state before
+ * @param transaction - the entry, with time and identifiers inside
+ * @returns the state after, with effects, record lines and the outcome
+ */
+export function apply (state: State, transaction: Transaction): Applied {
+  const draft = Draft.create(state, Math.max(state.time, transaction.at))
+  const handler = handlers[transaction.kind] as Handler<TransactionKind>
+  const outcome = handler(draft, transaction as never)
+  if (outcome.isErr()) return { state, effects: [], lines: [], outcome }
+  return { ...draft.finish(), outcome }
+}
--- /dev/null
+++ b/src/core/draft.ts
@@ -0,0 +1,157 @@
+import { Map as ImmutableMap } from 'immutable'
+import { EffectKind, type Effect } from './effect'
+import { hasEnded, JobState, type Attempt, type Job } from './job'
+import { chain, type RecordEvent, type RecordLine } from './record'
+import type { ConfigurationState, State, WorkerUsage } from './state'
+import type { Worker } from './worker'
+
+const nothingUsed: WorkerUsage = { mask: 0, slots: 0, processors: 0, memoryMegabytes: 0, attempts: ImmutableMap() }
+
+/**
+ * A state in the making: handlers read and change it, and it collects their effects and record lines.
+ * The state it was made from stays as it was.
+ */
+export class Draft {
+  private configurationState: ConfigurationState
+  private workers: State['workers']
+  private jobs: State['jobs']
+  private open: State['open']
+  private queued: State['queued']
+  private spent: State['spent']
+  private usage: State['usage']
+  private accounts: State['accounts']
+  private record: State['record']
+  private readonly effects: Effect[] = []
+  private readonly lines: RecordLine[] = []
+
+  private constructor (state: State, readonly at: number) {
+    this.configurationState = state.configuration
+    this.workers = state.workers
+    this.jobs = state.jobs
+    this.open = state.open
+    this.queued = state.queued
+    this.spent = state.spent
+    this.usage = state.usage
+    this.accounts = state.accounts
+    this.record = state.record
+  }
+
+  /**
+   * Begins a change.
+   * @param state - the state before
+   * @param at - time of the transaction, in milliseconds since the epoch
+   * @returns the draft
+   */
+  static create (state: State, at: number): Draft {
+    return new Draft(state, at)
+  }
+
+  get configuration (): ConfigurationState { return this.configurationState }
+  set configuration (next: ConfigurationState) { this.configurationState = next }
+
+  job (identifier: string): Job | undefined { return this.jobs.get(identifier) }
+  worker (name: string): Worker | undefined { return this.workers.get(name) }
+  workerUsage (name: string): WorkerUsage { return this.usage.get(name) ?? nothingUsed }
+  queuedOf (account: string): number { return this.accounts.get(account)?.queued ?? 0 }
+  queuedCount (): number { return this.queued.size }
+  isSpent (identifier: string): boolean { return this.spent.has(identifier) }
+  markSpent (identifier: string): void { this.spent = this.spent.add(identifier) }
+
+  /** Identifiers of jobs that have not ended, sorted, so that every host visits them in the same order. */
+  openJobs (): string[] { return this.open.toArray().sort() }
+  allJobs (): Iterable<Job> { return this.jobs.values() }
+
+  /** Attempts that hold something on a worker, sorted by job. */
+  attemptsOn (worker: string): Job[] {
+    const names = this.workerUsage(worker).attempts.keySeq().toArray().sort()
+    return names.map((name) => this.jobs.get(name)).filter((job): job is Job => job?.attempt !== undefined)
+  }
+
+  setWorker (worker: Worker): void {
+    this.workers = this.workers.set(worker.name, worker)
+  }
+
+  /** Puts a job in place of its former self and keeps every index in step with it. */
+  setJob (job: Job): void {
+    const before = this.jobs.get(job.identifier)
+    this.jobs = this.jobs.set(job.identifier, job)
+    this.index(before, job)
+    if (before?.attempt !== job.attempt) this.moveUsage(job, before?.attempt, job.attempt)
+    this.effects.push({ kind: EffectKind.JobMoved, job: job.identifier })
+  }
+
+  forget (identifier: string): void {
+    this.jobs = this.jobs.delete(identifier)
+  }
+
+  effect (effect: Effect): void {
+    this.effects.push(effect)
+  }
+
+  note (event: Omit<RecordEvent, 'at'>): void {
+    const line = chain(this.record, { ...event, at: this.at })
+    this.record = { sequence: line.sequence, digest: line.digest }
+    this.lines.push(line)
+  }
+
+  /** @returns the new state with what was collected. */
+  finish (): { state: State, effects: readonly Effect[], lines: readonly RecordLine[] } {
+    const { workers, jobs, open, queued, spent, usage, accounts, record } = this
+    const state = { time: this.at, configuration: this.configurationState, workers, jobs, open, queued, spent, usage, accounts, record }
+    return { state, effects: this.effects, lines: this.lines }
+  }
+
+  private index (before: Job | undefined, job: Job): void {
+    const wasQueued = before?.state === JobState.Queued
+    const isQueued = job.state === JobState.Queued
+    if (wasQueued !== isQueued) {
+      this.queued = isQueued ? this.queued.add(job.identifier) : this.queued.delete(job.identifier)
+      this.count(job.specification.account, isQueued ? 1 : -1, 0)
+    }
+    const isOpen = !hasEnded(job) || job.attempt !== undefined
+    this.open = isOpen ? this.open.add(job.identifier) : this.open.delete(job.identifier)
+  }
+
+  private count (account: string, queued: number, accelerators: number): void {
+    const before = this.accounts.get(account) ?? { queued: 0, accelerators: 0 }
+    this.accounts = this.accounts.set(account, { queued: before.queued + queued, accelerators: before.accelerators + accelerators })
+  }
+
+  private moveUsage (job: Job, before: Attempt | undefined, after: Attempt | undefined): void {
+    const held = new Map((before === undefined ? [] : heldMembers(before)).map((member) => [member.worker, member.mask]))
+    const holds = new Map((after === undefined ? [] : heldMembers(after)).map((member) => [member.worker, member.mask]))
+    for (const [worker, mask] of held) if (holds.get(worker) !== mask) this.use(job, worker, mask, -1)
+    for (const [worker, mask] of holds) if (held.get(worker) !== mask) this.use(job, worker, mask, 1)
+  }
+
+  private use (job: Job, worker: string, mask: number, sign: 1 | -1): void {
+    const before = this.workerUsage(worker)
+    const { shape, account } = job.specification
+    this.usage = this.usage.set(worker, {
+      mask: sign > 0 ? before.mask | mask : before.mask & ~mask,
+      slots: before.slots + sign * shape.slots,
+      processors: before.processors + sign * shape.processors,
+      memoryMegabytes: before.memoryMegabytes + sign * memoryNeeded(job),
+      attempts: sign > 0 ? before.attempts.set(job.identifier, true) : before.attempts.delete(job.identifier)
+    })
+    this.count(account, 0, sign * shape.accelerators)
+  }
+}
+
+/**
+ * The members of an attempt that still hold their part.
+ * @param attempt - the attempt
+ * @returns the members whose agent has not yet said that nothing runs there any more
+ */
+export function heldMembers (attempt: Attempt): Attempt['members'] {
+  return attempt.members.filter((member) => !attempt.ended.includes(member.worker))
+}
+
+/**
+ * The memory a job gets on each of its workers.
+ * @param job - the job
+ * @returns megabytes: what it was seen to need, or else what it declared
+ */
+export function memoryNeeded (job: Job): number {
+  return Math.max(job.learnedMemory, job.specification.shape.memoryMegabytes)
+}
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -77,6 +77,8 @@
   readonly stopReason?: Reason
   /** Members whose agent has said that nothing of the attempt runs there any more. */
   readonly ended: readonly string[]
+  /** Set once a member ended that may have run its part. */
+  readonly mayHaveRun?: boolean
 }
 
 /** How a job ended. */
--- /dev/null
+++ b/src/core/snapshot.ts
@@ -0,0 +1,111 @@
+import { createHash } from 'node:crypto'
+import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
+import type { Section } from './document'
+import type { Job } from './job'
+import type { AccountUsage, State, StoredPut, WorkerUsage } from './state'
+import type { Transaction } from './transaction'
+import type { Worker } from './worker'
+
+interface StoredUsage extends Omit<WorkerUsage, 'attempts'> {
+  readonly worker: string
+  readonly attempts: readonly string[]
+}
+
+interface StoredState {
+  readonly time: number
+  readonly number: number
+  readonly sectionNumbers: ReadonlyArray<readonly [Section, number]>
+  readonly document: State['configuration']['document']
+  readonly puts: readonly StoredPut[]
+  readonly workers: readonly Worker[]
+  readonly jobs: readonly Job[]
+  readonly open: readonly string[]
+  readonly queued: readonly string[]
+  readonly spent: readonly string[]
+  readonly usage: readonly StoredUsage[]
+  readonly accounts: ReadonlyArray<readonly [string, AccountUsage]>
+  readonly record: State['record']
+}
+
+/**
+ * Writes a state as bytes. Equal states give equal bytes, whatever the order in which they came about.
+ * @param state - the state
+ * @returns UTF-8 JSON
+ */
+export function encodeState (state: State): Uint8Array {
+  const { configuration } = state
+  const stored: StoredState = {
+    time: state.time,
+    number: configuration.number,
+    sectionNumbers: sortedEntries(configuration.sectionNumbers),
+    document: configuration.document,
+    puts: sortedEntries(configuration.puts).map(([, put]) => put),
+    workers: sortedEntries(state.workers).map(([, worker]) => worker),
+    jobs: sortedEntries(state.jobs).map(([, job]) => job),
+    open: state.open.toArray().sort(),
+    queued: state.queued.toArray().sort(),
+    spent: state.spent.toArray().sort(),
+    usage: sortedEntries(state.usage).map(([worker, usage]) => ({ worker, ...usage, attempts: usage.attempts.keySeq().toArray().sort() })),
+    accounts: sortedEntries(state.accounts),
+    record: state.record
+  }
+  return new TextEncoder().encode(JSON.stringify(stored))
+}
+
+/**
+ * Reads a state.
+ * @param bytes - what encodeState wrote
+ * @returns the state
+ */
+export function decodeState (bytes: Uint8Array): State {
+  const stored = JSON.parse(new TextDecoder().decode(bytes)) as StoredState
+  return {
+    time: stored.time,
+    configuration: {
+      number: stored.number,
+      sectionNumbers: ImmutableMap(stored.sectionNumbers as Array<[Section, number]>),
+      document: stored.document,
+      puts: ImmutableMap(stored.puts.map((put) => [put.requestIdentifier, put]))
+    },
+    workers: ImmutableMap(stored.workers.map((worker) => [worker.name, worker])),
+    jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
+    open: ImmutableSet(stored.open),
+    queued: ImmutableSet(stored.queued),
+    spent: ImmutableSet(stored.spent),
+    usage: ImmutableMap(stored.usage.map(({ worker, attempts, ...usage }) =>
+      [worker, { ...usage, attempts: ImmutableMap(attempts.map((job) => [job, true as const])) }])),
+    accounts: ImmutableMap(stored.accounts as Array<[string, AccountUsage]>),
+    record: stored.record
+  }
+}
+
+/**
+ * The digest by which control hosts compare their states.
+ * @param state - the state
+ * @returns SHA-256 in hexadecimal
+ */
+export function stateDigest (state: State): string {
+  return createHash('sha256').update(encodeState(state)).digest('hex')
+}
+
+/**
+ * Writes the transactions of one log entry.
+ * @param transactions - applied in order
+ * @returns UTF-8 JSON
+ */
+export function encodeTransactions (transactions: readonly Transaction[]): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(transactions))
+}
+
+/**
+ * Reads the transactions of one log entry.
+ * @param bytes - what encodeTransactions wrote
+ * @returns the transactions in order
+ */
+export function decodeTransactions (bytes: Uint8Array): Transaction[] {
+  return JSON.parse(new TextDecoder().decode(bytes)) as Transaction[]
+}
+
+function sortedEntries<Key extends string, Value> (map: ImmutableMap<Key, Value>): Array<[Key, Value]> {
+  return [...map.entries()].sort(([one], [other]) => one < other ? -1 : 1)
+}
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -29,6 +29,23 @@
   readonly digest: string
 }
 
+/** What the attempts on one worker hold, derived from the jobs. */
+export interface WorkerUsage {
+  /** Bit i set: accelerator i is held. */
+  readonly mask: number
+  readonly slots: number
+  readonly processors: number
+  readonly memoryMegabytes: number
+  /** Identifiers of the jobs that hold something here. */
+  readonly attempts: ImmutableMap<string, true>
+}
+
+/** What one account waits for and holds, derived from the jobs. */
+export interface AccountUsage {
+  readonly queued: number
+  readonly accelerators: number
+}
+
 /** Everything the log decides. Only apply makes a new one. */
 export interface State {
   /** Time of the newest transaction, in milliseconds since the epoch. */
@@ -39,8 +56,12 @@
   readonly jobs: ImmutableMap<string, Job>
   /** Identifiers of jobs that have not ended. */
   readonly open: ImmutableSet<string>
+  /** Identifiers of jobs in the state queued. */
+  readonly queued: ImmutableSet<string>
   /** Identifiers of declared jobs that have ended and must not run again. */
   readonly spent: ImmutableSet<string>
+  readonly usage: ImmutableMap<string, WorkerUsage>
+  readonly accounts: ImmutableMap<string, AccountUsage>
   readonly record: RecordHead
 }
 
@@ -51,6 +72,9 @@
   workers: ImmutableMap(),
   jobs: ImmutableMap(),
   open: ImmutableSet(),
+  queued: ImmutableSet(),
+  usage: ImmutableMap(),
+  accounts: ImmutableMap(),
   spent: ImmutableSet(),
   record: { sequence: 0, digest: '0'.repeat(64) }
 }
--- /dev/null
+++ b/src/core/workers.ts
@@ -0,0 +1,117 @@
+import { ok, type Result } from 'neverthrow'
+import type { Draft } from './draft'
+import { EffectKind } from './effect'
+import { JobState, Reason } from './job'
+import { endMember, isRunning, type RunningJob } from './jobs'
+import { AttemptOutcome, TransactionKind, type AnnounceWorker, type LeaveWorker, type LoseWorker } from './transaction'
+import { Verdict, type Refusal } from './verdict'
+import { WorkerHealth, type Worker } from './worker'
+
+type Outcome = Result<void, Refusal>
+
+/** Which command repeats the present state of an attempt to an agent that comes back. */
+const commandOfState: { readonly [state in JobState]?: EffectKind.Reserve | EffectKind.Start | EffectKind.Stop } = {
+  [JobState.Reserved]: EffectKind.Reserve,
+  [JobState.Running]: EffectKind.Start,
+  [JobState.Stopping]: EffectKind.Stop,
+  [JobState.Finished]: EffectKind.Stop,
+  [JobState.Cancelled]: EffectKind.Stop,
+  [JobState.Failed]: EffectKind.Stop
+}
+
+/**
+ * Records a worker and settles what ran there before its agent restarted.
+ * @param draft - the change being made
+ * @param transaction - the entry
+ * @returns nothing, or the refusal that left the state as it was
+ */
+export function announceWorker (draft: Draft, transaction: AnnounceWorker): Outcome {
+  const before = draft.worker(transaction.worker.name)
+  const restarted = before !== undefined && before.incarnation !== transaction.incarnation
+  draft.setWorker(describe(before, transaction))
+  draft.note({ kind: transaction.kind, workers: [transaction.worker.name], message: restarted ? 'the agent restarted' : 'announced' })
+  for (const job of draft.attemptsOn(transaction.worker.name)) {
+    if (!isRunning(job)) continue
+    const known = transaction.running.some((key) => key.job === job.identifier && key.attempt === job.attempt.number)
+    if (restarted) resume(draft, job, transaction, known)
+    else repeatCommand(draft, job, transaction.worker.name)
+  }
+  stopUnknown(draft, transaction)
+  return ok(undefined)
+}
+
+function describe (before: Worker | undefined, transaction: AnnounceWorker): Worker {
+  return {
+    ...transaction.worker,
+    incarnation: transaction.incarnation,
+    present: true,
+    leaving: transaction.leaving,
+    health: before?.health ?? WorkerHealth.Healthy,
+    recentFailures: before?.recentFailures ?? [],
+    probeAt: before?.probeAt ?? 0
+  }
+}
+
+/** After a restart only the platform's word counts: what it shows goes on, the rest may have run. */
+function resume (draft: Draft, job: RunningJob, transaction: AnnounceWorker, known: boolean): void {
+  const worker = transaction.worker.name
+  if (!known) {
+    endMember(draft, job, worker, lostMember(job))
+    return
+  }
+  const members = job.attempt.members.map((member) => member.worker === worker ? { ...member, incarnation: transaction.incarnation } : member)
+  draft.setJob({ ...job, attempt: { ...job.attempt, members } })
+  repeatCommand(draft, job, worker)
+}
+
+function lostMember (job: RunningJob): Parameters<typeof endMember>[3] {
+  const verdict = job.attempt.startedAt === 0 ? Verdict.NotRun : Verdict.MayHaveRun
+  return { outcome: AttemptOutcome.Lost, verdict, reason: Reason.MemberLost, usedMemory: 0 }
+}
+
+function repeatCommand (draft: Draft, job: RunningJob, worker: string): void {
+  const kind = commandOfState[job.state]
+  if (kind === undefined || job.attempt.ended.includes(worker)) return
+  draft.effect({ kind, job: job.identifier, attempt: job.attempt.number, worker })
+}
+
+/** Whatever the platform runs that the log does not know of is stopped. */
+function stopUnknown (draft: Draft, transaction: AnnounceWorker): void {
+  for (const key of transaction.running) {
+    const job = draft.job(key.job)
+    const wanted = job?.attempt?.number === key.attempt && !job.attempt.ended.includes(transaction.worker.name)
+    if (!wanted) draft.effect({ kind: EffectKind.Stop, job: key.job, attempt: key.attempt, worker: transaction.worker.name })
+  }
+}
+
+/**
+ * Ends what ran on a worker whose lease ran out.
+ * @param draft - the change being made
+ * @param transaction - the entry
+ * @returns nothing, or the refusal that left the state as it was
+ */
+export function loseWorker (draft: Draft, transaction: LoseWorker): Outcome {
+  const worker = draft.worker(transaction.worker)
+  if (worker === undefined || worker.incarnation !== transaction.incarnation || !worker.present) return ok(undefined)
+  draft.setWorker({ ...worker, present: false })
+  draft.note({ kind: transaction.kind, workers: [worker.name], reason: Reason.MemberLost })
+  for (const job of draft.attemptsOn(worker.name)) {
+    const current = draft.job(job.identifier)
+    if (current !== undefined && isRunning(current)) endMember(draft, current, worker.name, lostMember(current))
+  }
+  return ok(undefined)
+}
+
+/**
+ * Records that a target leaves: it gets no new work.
+ * @param draft - the change being made
+ * @param transaction - the entry
+ * @returns nothing, or the refusal that left the state as it was
+ */
+export function leaveWorker (draft: Draft, transaction: LeaveWorker): Outcome {
+  const worker = draft.worker(transaction.worker)
+  if (worker === undefined || worker.leaving) return ok(undefined)
+  draft.setWorker({ ...worker, leaving: true })
+  draft.note({ kind: TransactionKind.LeaveWorker, workers: [worker.name], reason: Reason.WorkerLeaving })
+  return ok(undefined)
+}
