--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,6 @@
+export {
+  LogLevel, Role, settingsSchema,
+  type AgentSettings, type ControlSettings, type EntrySettings, type Settings, type TlsSettings
+} from './schema'
+export { checkSettings, loadSettings, parseAddress, problemLines, type Address } from './load'
+export { checkAgainst, findProblems, showValue } from './problems'
--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,115 @@
+import { readFile } from 'node:fs/promises'
+import { isIP } from 'node:net'
+import { err, ok, type Result } from 'neverthrow'
+import type { Problem } from '../core/verdict'
+import { checkAgainst, showValue } from './problems'
+import { Role, settingsSchema, type Settings } from './schema'
+
+const HIGHEST_PORT = 65_535
+
+/** An IP number and a port. */
+export interface Address {
+  readonly ip: string
+  readonly port: number
+}
+
+/**
+ * Splits an address of the settings.
+ * @param text - such as 10.0.0.1:7000 or [::1]:7000
+ * @returns IP number and port
+ */
+export function parseAddress (text: string): Address {
+  const colon = text.lastIndexOf(':')
+  return { ip: text.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(text.slice(colon + 1)) }
+}
+
+function isAddress (text: string): boolean {
+  const { ip, port } = parseAddress(text.replace(/^http:\/\//, ''))
+  return isIP(ip) !== 0 && port <= HIGHEST_PORT
+}
+
+function addressesOf (settings: Settings): Array<[path: string, address: string | undefined]> {
+  const listed = (path: string, addresses: readonly string[] = []): Array<[string, string]> =>
+    addresses.map((address, position) => [`${path}/${position}`, address])
+  return [
+    ...listed('/controlHosts', settings.controlHosts),
+    ['/control/address', settings.control?.address],
+    ['/control/metrics', settings.control?.metrics],
+    ...listed('/control/voters', settings.control?.voters),
+    ['/entry/address', settings.entry?.address],
+    ['/agent/platform', settings.agent?.platform],
+    ['/agent/target', settings.agent?.target],
+    ['/agent/metrics', settings.agent?.metrics]
+  ]
+}
+
+function addressProblems (settings: Settings): Problem[] {
+  return addressesOf(settings)
+    .filter(([, address]) => address !== undefined && !isAddress(address))
+    .map(([path, address]) => ({ path, value: showValue(address), expected: `an IP number and a port up to ${HIGHEST_PORT}` }))
+}
+
+function roleProblems (settings: Settings): Problem[] {
+  return Object.values(Role)
+    .filter((role) => settings.roles.includes(role) && settings[role] === undefined)
+    .map((role) => ({ path: `/${role}`, value: 'nothing', expected: `a section ${role}, because the roles name it` }))
+}
+
+function controlHostProblems (settings: Settings): Problem[] {
+  if (settings.controlHosts.length > 0 || settings.control !== undefined) return []
+  return [{ path: '/controlHosts', value: '[]', expected: 'at least one address of a control host' }]
+}
+
+function voterProblems (settings: Settings): Problem[] {
+  const voters = settings.control?.voters ?? []
+  if (new Set(voters).size === voters.length) return []
+  return [{ path: '/control/voters', value: showValue(voters), expected: 'each voter once' }]
+}
+
+const crossChecks = [addressProblems, roleProblems, controlHostProblems, voterProblems]
+
+function withControlHosts (settings: Settings): Settings {
+  return settings.controlHosts.length > 0 ? settings : { ...settings, controlHosts: settings.control?.voters ?? [] }
+}
+
+/**
+ * Checks settings, fills the defaults, and compares the sections with each other.
+ * @param json - the parsed settings file
+ * @returns the settings, or all problems at once
+ */
+export function checkSettings (json: unknown): Result<Settings, Problem[]> {
+  return checkAgainst(settingsSchema, json).andThen((settings) => {
+    const problems = crossChecks.flatMap((check) => check(settings))
+    return problems.length > 0 ? err(problems) : ok(withControlHosts(settings))
+  })
+}
+
+function parseSettings (text: string): Result<Settings, Problem[]> {
+  try {
+    return checkSettings(JSON.parse(text))
+  } catch (error) {
+    return err([{ path: '', value: 'the file', expected: `JSON: ${(error as Error).message}` }])
+  }
+}
+
+/**
+ * Reads and checks a settings file.
+ * @param path - the file
+ * @returns the settings, or all problems at once
+ */
+export async function loadSettings (path: string): Promise<Result<Settings, Problem[]>> {
+  try {
+    return parseSettings(await readFile(path, 'utf8'))
+  } catch (error) {
+    return err([{ path: '', value: showValue(path), expected: `a readable file: ${(error as Error).message}` }])
+  }
+}
+
+/**
+ * Puts problems into lines for a person.
+ * @param problems - the problems
+ * @returns one line for each
+ */
+export function problemLines (problems: readonly Problem[]): string[] {
+  return problems.map(({ path, value, expected }) => `${path || '/'}: found ${value}, expected ${expected}`)
+}
