Run attempts beside a target: the agent, and stand-ins for platform and target

The agent holds the worker's lease, asks the platform before it announces, grants reservations, starts each attempt at most once and reports its end with a verdict until control acknowledges it. Attempts are a pure state machine (src/agent/attempts.ts); sockets and timers stand round it. The platform's own lease on a task ends it should the agent not come back.

Each answer must name its job and attempt and carry a digest (Content-Digest), so that a target that answers two times on one connection can not shift the answers after it.

--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,391 @@
+import { randomUUID } from 'node:crypto'
+import type { ChannelCredentials } from '@grpc/grpc-js'
+import type { WorkerDescription } from '../core/worker'
+import type { AgentMessage, AttemptKey, ControlMessage, Heartbeat } from '../wire'
+import { EffectKind, EventKind, keyName, Phase, StopMode, type AgentEvent, type AgentState, type Attempt, type Effect } from './attempt'
+import { initialAgentState, reduce } from './attempts'
+import { Backoff } from './backoff'
+import { actsAt, LEASE_MARGIN_SHARE, noLease, renew, sendHeartbeat, type Lease } from './lease'
+import { occupies } from './limits'
+import { eventOf, reportMessage, reservationMessage } from './messages'
+import { PLATFORM_CONNECTIONS, PlatformClient } from './platform'
+import { ReportReason } from './report'
+import { ControlStream } from './stream'
+import { TargetClient } from './target'
+
+/** Connections to the worker's target and platform, in all. */
+export const DEFAULT_CONNECTIONS = 64
+/** Milliseconds between two looks at the platform while something runs there. */
+const WATCH_MILLISECONDS = 1_000
+/** Looks at the platform for one look at what its tasks use. */
+const WATCHES_PER_USAGE = 5
+/** Milliseconds after which an unacknowledged report is sent again. */
+const RESEND_MILLISECONDS = 3_000
+/** Milliseconds between two looks at what is left while the agent stops. */
+const STOP_CHECK_MILLISECONDS = 20
+/** Heartbeat intervals of silence after which the leader counts as gone. */
+const SILENT_HEARTBEATS = 2.5
+/** Share of the stop's deadline in which tasks may finish by themselves. */
+const FINISH_SHARE = 0.5
+/** Share of the stop's deadline in which a checkpoint may be made. */
+const CHECKPOINT_SHARE = 0.25
+/** Bounds of the wait between tries to reach the platform at the start, in milliseconds. */
+const PLATFORM_RETRY_MILLISECONDS = { first: 20, longest: 1_000 }
+
+/** What an agent is told. */
+export interface AgentOptions {
+  readonly worker: WorkerDescription
+  /** Control hosts, as address and port. */
+  readonly controlHosts: readonly string[]
+  readonly platformUrl: string
+  readonly targetUrl: string
+  /** The most connections to target and platform in all, {@link DEFAULT_CONNECTIONS} where not given. */
+  readonly connections?: number
+  /** Plain text to control where none are given. */
+  readonly credentials?: ChannelCredentials
+  /** Takes one line of the log. */
+  readonly log?: (event: string, fields: Readonly<Record<string, unknown>>) => void
+}
+
+/** Something that an agent had to leave when it stopped. */
+export interface LeftAttempt extends AttemptKey {
+  readonly phase: Phase
+  /** Control has not acknowledged the report. */
+  readonly unreported: boolean
+}
+
+/** What a stop left. */
+export interface StopReport {
+  readonly left: readonly LeftAttempt[]
+}
+
+type EffectHandlers = { readonly [Kind in EffectKind]: (effect: Extract<Effect, { kind: Kind }>) => void }
+
+/** The process beside one target: holds the worker's lease, runs attempts, and alone talks to the target. */
+export class Agent {
+  private state: AgentState
+  private lease: Lease = noLease
+  private term = 0
+  private configuration = 0
+  private welcomed = false
+  private heartbeatMilliseconds = 0
+  private stopping = false
+  private ended = false
+  private usage: Readonly<Record<string, number>> = {}
+  private usedProcessors = 0
+  private watches = 0
+  private readonly stream: ControlStream
+  private readonly platform: PlatformClient
+  private readonly target: TargetClient
+  /** Commands that wait for the platform's view, per attempt. */
+  private readonly waiting = new Map<string, AgentEvent[]>()
+  private readonly graces = new Map<string, NodeJS.Timeout>()
+  private heartbeatTimer?: NodeJS.Timeout
+  private leaseTimer?: NodeJS.Timeout
+  private watchTimer?: NodeJS.Timeout
+  private resendTimer?: NodeJS.Timeout
+
+  private constructor (private readonly options: AgentOptions) {
+    const connections = (options.connections ?? DEFAULT_CONNECTIONS) - PLATFORM_CONNECTIONS
+    const { accelerators, slots } = options.worker
+    this.state = initialAgentState(randomUUID(), { accelerators, slots, connections })
+    this.platform = PlatformClient.create(options.platformUrl)
+    this.target = TargetClient.create(options.targetUrl, connections)
+    this.stream = ControlStream.create(options.controlHosts, {
+      opened: () => { this.announce() },
+      received: (message) => { this.receive(message) },
+      closed: () => { this.disconnected() }
+    }, options.credentials)
+  }
+
+  /**
+   * Makes an agent that does nothing yet.
+   * @param options - the worker and whom to talk to
+   * @returns the agent
+   */
+  static create (options: AgentOptions): Agent {
+    return new Agent(options)
+  }
+
+  /** Asks the platform what runs, then looks for the leader. */
+  start (): void {
+    this.watchTimer = setInterval(() => { this.watch() }, WATCH_MILLISECONDS)
+    this.resendTimer = setInterval(() => { this.resend() }, RESEND_MILLISECONDS)
+    this.firstLook()
+  }
+
+  /**
+   * Leaves: takes nothing new, lets tasks finish, checkpoints or stops them when half of the time is over, delivers
+   * reports, then ends. A second call ends at once.
+   * @param deadlineMilliseconds - the time that all of it may take
+   * @returns what was left
+   */
+  async stop (deadlineMilliseconds: number): Promise<StopReport> {
+    const again = this.stopping
+    this.stopping = true
+    if (!again) await this.leave(performance.now(), deadlineMilliseconds)
+    const left = this.leftNow()
+    this.log('stopped', { left })
+    await this.end()
+    return { left }
+  }
+
+  private async leave (startedAt: number, deadlineMilliseconds: number): Promise<void> {
+    this.dispatch({ kind: EventKind.Leave })
+    this.stream.send({ message: { $case: 'leaving', value: { deadlineMilliseconds } } })
+    this.log('leaving', { deadlineMilliseconds, left: this.leftNow().length })
+    const stopAt = startedAt + deadlineMilliseconds * FINISH_SHARE
+    const graceMilliseconds = deadlineMilliseconds * CHECKPOINT_SHARE
+    let asked = false
+    while (this.state.attempts.size > 0 && performance.now() - startedAt < deadlineMilliseconds && !this.ended) {
+      if (!asked && performance.now() >= stopAt) {
+        asked = true
+        this.dispatch({ kind: EventKind.StopAll, reason: ReportReason.Leaving, graceMilliseconds })
+      }
+      await new Promise((resolve) => { setTimeout(resolve, STOP_CHECK_MILLISECONDS) })
+    }
+  }
+
+  private async end (): Promise<void> {
+    if (this.ended) return
+    this.ended = true
+    for (const timer of [this.heartbeatTimer, this.watchTimer, this.resendTimer]) clearInterval(timer)
+    for (const timer of [this.leaseTimer, ...this.graces.values()]) clearTimeout(timer)
+    await this.stream.stop()
+    await Promise.all([this.platform.close(), this.target.close()])
+  }
+
+  private leftNow (): readonly LeftAttempt[] {
+    return [...this.state.attempts.values()].map(({ key, phase, acknowledged }) => ({ ...key, phase, unreported: !acknowledged }))
+  }
+
+  /** Nothing is announced before the platform has said what runs: it is asked before own memory is trusted. */
+  private async firstLook (): Promise<void> {
+    const backoff = Backoff.create(PLATFORM_RETRY_MILLISECONDS.first, PLATFORM_RETRY_MILLISECONDS.longest)
+    while (!this.ended && !await this.look()) {
+      this.log('platform-silent', {})
+      await backoff.pause()
+    }
+    if (!this.ended) this.stream.start()
+  }
+
+  private async look (): Promise<boolean> {
+    const expected = this.onPlatform().filter(({ phase }) => phase === Phase.Running).map(({ key }) => keyName(key))
+    const view = await this.platform.show()
+    if (view === undefined || this.ended) return false
+    this.dispatch({ kind: EventKind.PlatformShown, tasks: view.running, expected, overMemory: view.overMemory })
+    return true
+  }
+
+  private async watch (): Promise<void> {
+    if (this.onPlatform().length === 0 && this.state.leftovers.size === 0) return
+    if (this.watches++ % WATCHES_PER_USAGE === 0) await this.lookAtUsage()
+    await this.look()
+  }
+
+  private async lookAtUsage (): Promise<void> {
+    const usage = await this.platform.usage()
+    this.usedProcessors = usage.reduce((sum, { processors }) => sum + processors, 0)
+    this.usage = Object.fromEntries(usage.map(({ name, memoryMegabytes }) => [name, Math.max(memoryMegabytes, this.usage[name] ?? 0)]))
+  }
+
+  private onPlatform (): readonly Attempt[] {
+    return [...this.state.attempts.values()].filter((attempt) => attempt.onPlatform)
+  }
+
+  private announce (): void {
+    const { name, dataCentre, region, rack, accelerators, slots, processors, memoryMegabytes } = this.options.worker
+    const held = [...this.state.attempts.values()].filter(({ phase }) => phase !== Phase.Reserved)
+    const running = [...held, ...this.state.leftovers.values()].map(({ key }) => key)
+    const { incarnation, leaving } = this.state
+    this.stream.send({
+      message: {
+        $case: 'announce',
+        value: { worker: name, incarnation, region, dataCentre, rack, accelerators, slots, processors, memoryMegabytes, running, leaving }
+      }
+    })
+  }
+
+  private disconnected (): void {
+    if (this.welcomed) this.log('disconnected', { term: this.term })
+    this.welcomed = false
+    this.waiting.clear()
+    clearInterval(this.heartbeatTimer)
+  }
+
+  /** Whoever has an older term or configuration than was seen is no longer the leader. */
+  private receive (message: ControlMessage): void {
+    if (message.term < this.term || message.configuration < this.configuration) {
+      this.log('refused-old-leader', { term: message.term, seen: this.term, configuration: message.configuration })
+      this.stream.drop()
+      return
+    }
+    this.checkLease()
+    this.term = message.term
+    this.configuration = message.configuration
+    if (message.message?.$case === 'welcome') this.welcome(message.message.value.leaseMilliseconds, message.message.value.heartbeatMilliseconds)
+    else if (message.message?.$case === 'renewal') this.renewed(message.message.value.sequence)
+    else this.command(message)
+  }
+
+  private welcome (leaseMilliseconds: number, heartbeatMilliseconds: number): void {
+    this.welcomed = true
+    this.lease = { ...this.lease, milliseconds: leaseMilliseconds }
+    this.heartbeatMilliseconds = heartbeatMilliseconds
+    this.log('attached', { term: this.term, incarnation: this.state.incarnation })
+    this.stream.settle()
+    this.stream.expectMessageEvery(heartbeatMilliseconds * SILENT_HEARTBEATS)
+    clearInterval(this.heartbeatTimer)
+    this.heartbeatTimer = setInterval(() => { this.heartbeat() }, this.heartbeatMilliseconds)
+    this.heartbeat()
+    if (this.state.leaving) this.stream.send({ message: { $case: 'leaving', value: { deadlineMilliseconds: 0 } } })
+    this.resend()
+  }
+
+  private heartbeat (): void {
+    this.lease = sendHeartbeat(this.lease, performance.now())
+    const running = [...this.state.attempts.values()].filter((attempt) => occupies(attempt) && attempt.phase !== Phase.Reserved)
+    const value: Heartbeat = {
+      sequence: this.lease.sequence,
+      inForce: this.configuration,
+      running: running.length,
+      usedProcessors: Math.round(this.usedProcessors),
+      usedMemoryMegabytes: Math.round(Object.values(this.usage).reduce((sum, used) => sum + used, 0)),
+      attempts: running.map(({ key }) => key)
+    }
+    this.stream.send({ message: { $case: 'heartbeat', value } })
+  }
+
+  private renewed (sequence: number): void {
+    this.lease = renew(this.lease, sequence)
+    const remaining = actsAt(this.lease) - performance.now()
+    if (remaining <= 0) return
+    if (!this.state.leased) this.dispatch({ kind: EventKind.LeaseGained })
+    clearTimeout(this.leaseTimer)
+    this.leaseTimer = setTimeout(() => { this.checkLease() }, remaining)
+    const names = this.onPlatform().map(({ key }) => keyName(key))
+    if (names.length > 0) this.platform.renew(names, this.leaseUntil())
+  }
+
+  /** A process that was held up finds its lease over before its timer has run. */
+  private checkLease (): void {
+    if (!this.state.leased || performance.now() < actsAt(this.lease)) return
+    this.log('lease-ended', { term: this.term })
+    this.dispatch({ kind: EventKind.LeaseEnded, graceMilliseconds: this.lease.milliseconds * LEASE_MARGIN_SHARE / 2 })
+  }
+
+  /** When the platform ends tasks by itself, should this process not be there to do so. */
+  private leaseUntil (): number {
+    return Date.now() + Math.max(0, this.lease.endsAt - performance.now())
+  }
+
+  private command (message: ControlMessage): void {
+    const event = eventOf(message, Date.now())
+    if (event === undefined || !('key' in event)) return
+    const name = keyName(event.key)
+    const queue = this.waiting.get(name)
+    if (queue !== undefined) queue.push(event)
+    else if (event.kind === EventKind.Reserve && event.resources.mask !== 0) this.reserveAfterLook(name, event)
+    else this.dispatch(event)
+  }
+
+  /** Accelerators are given only if the platform, too, shows them free. Later commands on the attempt wait. */
+  private async reserveAfterLook (name: string, event: AgentEvent): Promise<void> {
+    const queue = [event]
+    this.waiting.set(name, queue)
+    const seen = await this.look()
+    if (this.waiting.get(name) !== queue) return
+    this.waiting.delete(name)
+    if (!seen && 'key' in event) this.send(reservationMessage(event.key, false, ReportReason.PlatformFailed))
+    for (const waiting of seen ? queue : queue.slice(1)) this.dispatch(waiting)
+  }
+
+  private dispatch (event: AgentEvent): void {
+    const { state, effects } = reduce(this.state, event)
+    this.state = state
+    for (const effect of effects) this.perform(effect)
+  }
+
+  private perform (effect: Effect): void {
+    const handle = this.effects[effect.kind] as (effect: Effect) => void
+    handle(effect)
+  }
+
+  private readonly effects: EffectHandlers = {
+    [EffectKind.Reply]: ({ key, granted, reason }) => { this.send(reservationMessage(key, granted, reason)) },
+    [EffectKind.StartOnPlatform]: (effect) => { this.startOnPlatform(effect) },
+    [EffectKind.CheckpointOnPlatform]: ({ key }) => { this.checkpoint(key) },
+    [EffectKind.StopOnPlatform]: ({ key }) => { this.stopOnPlatform(key) },
+    [EffectKind.SendToTarget]: (effect) => { this.sendToTarget(effect) },
+    [EffectKind.AbortTarget]: ({ key }) => { this.target.abort(key) },
+    [EffectKind.SetGrace]: ({ key, milliseconds }) => { this.setGrace(key, milliseconds) },
+    [EffectKind.Report]: ({ key, report }) => {
+      const { outcome, verdict, reason } = report
+      this.log('reported', { ...key, outcome, verdict, reason })
+      this.send(reportMessage(key, report, this.usage[keyName(key)] ?? 0))
+    }
+  }
+
+  private async startOnPlatform ({ key, resources }: Extract<Effect, { kind: EffectKind.StartOnPlatform }>): Promise<void> {
+    const started = await this.platform.start(key, resources, this.leaseUntil())
+    if (this.ended) return
+    this.dispatch(started.match<AgentEvent>(
+      () => ({ kind: EventKind.PlatformStarted, key, now: Date.now() }),
+      (verdict) => ({ kind: EventKind.PlatformRefused, key, verdict })
+    ))
+  }
+
+  private async checkpoint (key: AttemptKey): Promise<void> {
+    const wanted = (): boolean => {
+      const attempt = this.state.attempts.get(keyName(key))
+      return attempt?.phase === Phase.Stopping && attempt.report === undefined
+    }
+    if (await this.platform.checkpoint(key, wanted)) this.endedOnPlatform(key, StopMode.Checkpoint)
+  }
+
+  private async stopOnPlatform (key: AttemptKey): Promise<void> {
+    if (await this.platform.stop(key)) this.endedOnPlatform(key, StopMode.Stop)
+  }
+
+  private endedOnPlatform (key: AttemptKey, mode: StopMode): void {
+    if (this.ended) return
+    clearTimeout(this.graces.get(keyName(key)))
+    this.graces.delete(keyName(key))
+    this.dispatch({ kind: EventKind.PlatformEnded, key, mode })
+  }
+
+  private async sendToTarget ({ key, payload, deadline, answerBytesLimit }: Extract<Effect, { kind: EffectKind.SendToTarget }>): Promise<void> {
+    const deadlineIn = deadline === 0 ? 0 : Math.max(1, deadline - Date.now())
+    const answer = await this.target.send({ key, payload, deadlineIn, answerBytesLimit })
+    if (this.ended) return
+    this.dispatch(answer.match<AgentEvent>(
+      (content) => ({ kind: EventKind.Answered, key, answer: content }),
+      (failure) => ({ kind: EventKind.Broken, key, ...failure })
+    ))
+  }
+
+  private setGrace (key: AttemptKey, milliseconds: number): void {
+    const name = keyName(key)
+    clearTimeout(this.graces.get(name))
+    this.graces.set(name, setTimeout(() => {
+      this.graces.delete(name)
+      this.dispatch({ kind: EventKind.GraceOver, key })
+    }, milliseconds))
+  }
+
+  private resend (): void {
+    for (const { key, phase, report, acknowledged } of this.state.attempts.values()) {
+      if (phase !== Phase.Ended || report === undefined || acknowledged) continue
+      this.send(reportMessage(key, report, this.usage[keyName(key)] ?? 0))
+    }
+  }
+
+  /** Before the welcome only the announcement is sent; reports follow with the next resend. */
+  private send (message: AgentMessage): void {
+    if (this.welcomed) this.stream.send(message)
+  }
+
+  private log (event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.options.log?.(event, { worker: this.options.worker.name, ...fields })
+  }
+}
--- /dev/null
+++ b/src/agent/index.ts
@@ -0,0 +1,2 @@
+export { Agent, DEFAULT_CONNECTIONS, type AgentOptions, type LeftAttempt, type StopReport } from './agent'
+export { Outcome, ReportReason } from './report'
--- /dev/null
+++ b/src/agent/limits.ts
@@ -0,0 +1,40 @@
+import { Phase, type AgentState, type Attempt, type Resources } from './attempt'
+import { ReportReason } from './report'
+
+/**
+ * Tells whether an attempt still takes anything of the worker.
+ * @param attempt - the attempt
+ * @returns true until nothing of it runs at the platform or the target any more
+ */
+export function occupies (attempt: Attempt): boolean {
+  return attempt.phase !== Phase.Ended || attempt.onPlatform || attempt.atTarget
+}
+
+/**
+ * Adds up what is taken, by attempts of this incarnation and by tasks that only the platform knows.
+ * @param state - what the agent knows
+ * @returns the taken accelerators as a mask, the slots and the connections
+ */
+export function taken (state: AgentState): { mask: number, slots: number, connections: number } {
+  const holders = [...[...state.attempts.values()].filter(occupies), ...state.leftovers.values()]
+  return {
+    mask: holders.reduce((mask, holder) => mask | holder.resources.mask, 0),
+    slots: holders.reduce((slots, holder) => slots + holder.resources.slots, 0),
+    connections: holders.length
+  }
+}
+
+/**
+ * Tells why resources can not be given now.
+ * @param state - what the agent knows
+ * @param wanted - the resources asked for
+ * @returns the reason, or undefined where they are free
+ */
+export function lacking (state: AgentState, wanted: Resources): ReportReason | undefined {
+  const { mask, slots, connections } = taken(state)
+  const row = 2 ** state.capacity.accelerators - 1
+  if ((wanted.mask & mask) !== 0 || (wanted.mask & ~row) !== 0) return ReportReason.AcceleratorTaken
+  if (slots + wanted.slots > state.capacity.slots) return ReportReason.NoSlot
+  if (connections + 1 > state.capacity.connections) return ReportReason.NoConnection
+  return undefined
+}
--- /dev/null
+++ b/src/agent/messages.ts
@@ -0,0 +1,67 @@
+import { Verdict } from '../core/verdict'
+import { StopMode as WireStopMode, Verdict as WireVerdict, type AgentMessage, type AttemptKey, type ControlMessage } from '../wire'
+import { EventKind, StopMode, type AgentEvent } from './attempt'
+import type { Report, ReportReason } from './report'
+
+type Payload = NonNullable<ControlMessage['message']>
+type Case = Payload['$case']
+type ValueOf<Name extends Case> = Extract<Payload, { $case: Name }>['value']
+type Conversions = { readonly [Name in Case]?: (value: ValueOf<Name>, now: number) => AgentEvent }
+
+const noKey: AttemptKey = { job: '', attempt: 0 }
+
+const conversions: Conversions = {
+  reserve: ({ key = noKey, acceleratorMask, slots, processors, memoryMegabytes, incarnation }) => ({
+    kind: EventKind.Reserve, key, incarnation, resources: { mask: acceleratorMask, slots, processors, memoryMegabytes }
+  }),
+  release: ({ key = noKey }) => ({ kind: EventKind.Release, key }),
+  start: ({ key = noKey, incarnation, lead, idempotent, checkpointable, deadline, answerBytesLimit, payload }, now) => ({
+    kind: EventKind.Start, key, incarnation, now, order: { lead, idempotent, checkpointable, deadline, answerBytesLimit, payload }
+  }),
+  stop: ({ key = noKey, mode, graceMilliseconds }) => ({
+    kind: EventKind.Stop, key, graceMilliseconds, mode: mode === WireStopMode.CHECKPOINT ? StopMode.Checkpoint : StopMode.Stop
+  }),
+  acknowledge: ({ key = noKey }) => ({ kind: EventKind.Acknowledge, key })
+}
+
+const wireVerdicts: Readonly<Record<Verdict, WireVerdict>> = {
+  [Verdict.NotRun]: WireVerdict.NOT_RUN,
+  [Verdict.MayHaveRun]: WireVerdict.MAY_HAVE_RUN,
+  [Verdict.Ran]: WireVerdict.RAN
+}
+
+/**
+ * Reads a command on an attempt.
+ * @param message - what control sent
+ * @param now - milliseconds since the epoch
+ * @returns the event, or nothing for a message of another kind
+ */
+export function eventOf (message: ControlMessage, now: number): AgentEvent | undefined {
+  if (message.message === undefined) return undefined
+  const { $case, value } = message.message
+  const convert = conversions[$case] as ((value: unknown, now: number) => AgentEvent) | undefined
+  return convert?.(value, now)
+}
+
+/**
+ * Writes a report.
+ * @param key - the attempt
+ * @param report - what is said of it
+ * @param usedMemoryMegabytes - the most memory seen in use, 0 where unknown
+ * @returns the message
+ */
+export function reportMessage (key: AttemptKey, report: Report, usedMemoryMegabytes: number): AgentMessage {
+  const { outcome, verdict, reason, answer } = report
+  return { message: { $case: 'report', value: { key, outcome, verdict: wireVerdicts[verdict], reason, answer, usedMemoryMegabytes } } }
+}
+
+/**
+ * Writes the answer to a reservation.
+ * @param key - the attempt
+ * @param granted - whether the worker holds it
+ * @param reason - why not
+ * @returns the message
+ */
+export function reservationMessage (key: AttemptKey, granted: boolean, reason: ReportReason): AgentMessage {
+  return { message: { $case: 'reservation', value: { key, granted, reason } } }
+}
--- /dev/null
+++ b/src/agent/target.ts
@@ -0,0 +1,146 @@
+import { createHash } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { Pool, type Dispatcher } from 'undici'
+import { Verdict } from '../core/verdict'
+import type { AttemptKey, Content } from '../wire'
+import { keyName } from './attempt'
+import { verdictOf } from './platform'
+import { ReportReason } from './report'
+
+/** Milliseconds after which a connection that does not come about is given up. */
+const CONNECT_TIMEOUT_MILLISECONDS = 3_000
+/** The longest time that a timer of the runtime can wait, in milliseconds. */
+const LONGEST_TIMER_MILLISECONDS = 2 ** 31 - 1
+
+/** Why there is no whole answer. */
+export interface TargetFailure {
+  readonly verdict: Verdict
+  readonly reason: ReportReason
+}
+
+/** One request to the target. */
+export interface TargetRequest {
+  readonly key: AttemptKey
+  readonly payload: Content
+  /** Milliseconds from now after which the request is given up, 0 for never. */
+  readonly deadlineIn: number
+  readonly answerBytesLimit: number
+}
+
+/** Sends requests to the target: each once, on at most so many connections, one request at a time on each. */
+export class TargetClient {
+  private readonly open = new Map<string, AbortController>()
+
+  private constructor (private readonly pool: Pool) {}
+
+  /**
+   * Makes a client; connections are opened when needed.
+   * @param baseUrl - where the target listens
+   * @param connections - the most connections
+   * @returns the client
+   */
+  static create (baseUrl: string, connections: number): TargetClient {
+    return new TargetClient(new Pool(baseUrl, {
+      connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS
+    }))
+  }
+
+  /**
+   * Sends a request and reads its whole answer.
+   * @param request - what to send
+   * @returns the answer, its length and digest checked, or the failure
+   */
+  async send (request: TargetRequest): Promise<Result<Content, TargetFailure>> {
+    const controller = new AbortController()
+    const name = keyName(request.key)
+    this.open.set(name, controller)
+    let late = false
+    const timer = request.deadlineIn > 0
+      ? setTimeout(() => { late = true; controller.abort() }, Math.min(request.deadlineIn, LONGEST_TIMER_MILLISECONDS))
+      : undefined
+    const result = await this.exchange(request, controller.signal)
+    clearTimeout(timer)
+    if (this.open.get(name) === controller) this.open.delete(name)
+    return late ? result.mapErr((failure) => ({ ...failure, reason: ReportReason.DeadlinePassed })) : result
+  }
+
+  /**
+   * Gives a request up: its connection is closed at once.
+   * @param key - the attempt
+   */
+  abort (key: AttemptKey): void {
+    this.open.get(keyName(key))?.abort()
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.pool.destroy()
+  }
+
+  private async exchange (request: TargetRequest, signal: AbortSignal): Promise<Result<Content, TargetFailure>> {
+    try {
+      const response = await this.pool.request({
+        method: 'POST', path: '/requests', headers: headersOf(request), body: request.payload.body, signal
+      })
+      const failure = failureOf(response, request)
+      if (failure !== undefined) {
+        response.body.on('error', () => {}).destroy()
+        return err(failure)
+      }
+      return await readAnswer(response, request.answerBytesLimit)
+    } catch (error) {
+      const verdict = verdictOf(error)
+      return err({ verdict, reason: verdict === Verdict.NotRun ? ReportReason.ConnectionRefused : ReportReason.ConnectionBroken })
+    }
+  }
+}
+
+function headersOf ({ key, payload }: TargetRequest): Record<string, string> {
+  return {
+    'content-type': payload.contentType || 'application/octet-stream',
+    'content-digest': digestField(payload.body),
+    job: encodeURIComponent(key.job),
+    attempt: String(key.attempt)
+  }
+}
+
+/** An answer must name its request: a target that answers twice on a kept connection would shift all later answers. */
+function failureOf ({ statusCode, headers }: Dispatcher.ResponseData, request: TargetRequest): TargetFailure | undefined {
+  const { job, attempt } = request.key
+  if (headers.job !== encodeURIComponent(job) || headers.attempt !== String(attempt)) {
+    const reason = statusCode === 200 ? ReportReason.AnswerOfAnother : ReportReason.TargetFailed
+    return { verdict: Verdict.MayHaveRun, reason }
+  }
+  if (statusCode !== 200) return { verdict: Verdict.MayHaveRun, reason: ReportReason.TargetFailed }
+  const length = Number(headers['content-length'] ?? 0)
+  return exceeds(length, request.answerBytesLimit) ? tooLarge : undefined
+}
+
+async function readAnswer ({ body, headers }: Dispatcher.ResponseData, limit: number): Promise<Result<Content, TargetFailure>> {
+  const chunks: Buffer[] = []
+  let length = 0
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    length += chunk.length
+    if (exceeds(length, limit)) return err(tooLarge)
+    chunks.push(chunk)
+  }
+  const whole = Buffer.concat(chunks, length)
+  const stated = headers['content-length']
+  const complete = (stated === undefined || Number(stated) === length) && headers['content-digest'] === digestField(whole)
+  if (!complete) return err({ verdict: Verdict.MayHaveRun, reason: ReportReason.AnswerDamaged })
+  return ok({ contentType: String(headers['content-type'] ?? ''), body: whole, digest: sha256(whole) })
+}
+
+const tooLarge: TargetFailure = { verdict: Verdict.Ran, reason: ReportReason.AnswerTooLarge }
+
+function exceeds (length: number, limit: number): boolean {
+  return limit > 0 && length > limit
+}
+
+function sha256 (body: Uint8Array): Buffer {
+  return createHash('sha256').update(body).digest()
+}
+
+function digestField (body: Uint8Array): string {
+  return `sha-256=:${sha256(body).toString('base64')}:`
+}
--- /dev/null
+++ b/stand-ins/index.ts
@@ -0,0 +1,3 @@
+export { Fault, type FaultOrder } from './server'
+export { PlatformStandIn, TaskEnd, type TaskRecord } from './platform'
+export { expectedAnswer, TargetStandIn, type TargetRun } from './target'
--- /dev/null
+++ b/stand-ins/platform.ts
@@ -0,0 +1,188 @@
+import { FaultyServer, json, type FaultOrder, type ReceivedRequest, type Reply } from './server'
+
+/** Milliseconds by which the reported use lags. */
+const USAGE_LAG_MILLISECONDS = 1_000
+/** Ended tasks that are still shown, so that their end can be learned. */
+const SHOWN_ENDED_TASKS = 64
+/** Ended names that are remembered, so that a late start of one comes to nothing. */
+const REMEMBERED_NAMES = 65_536
+
+/** What a task takes. */
+interface TaskOrder {
+  readonly mask: number
+  readonly slots: number
+  readonly processors: number
+  readonly memoryMegabytes: number
+  /** Milliseconds since the epoch. */
+  readonly leaseUntil: number
+}
+
+/** How a task ended. */
+export enum TaskEnd {
+  Stopped = 'stopped',
+  Checkpointed = 'checkpointed',
+  LeaseOver = 'lease-over',
+  OverMemory = 'memory',
+  Died = 'died'
+}
+
+/** One task as the platform ran it. */
+export interface TaskRecord {
+  readonly key: string
+  readonly mask: number
+  readonly slots: number
+  /** Milliseconds since the epoch. */
+  readonly startedAt: number
+  /** Milliseconds since the epoch, 0 while it runs. */
+  readonly endedAt: number
+  readonly end?: TaskEnd
+}
+
+interface Task extends TaskOrder {
+  readonly key: string
+  readonly startedAt: number
+  readonly timer: NodeJS.Timeout
+}
+
+/** Stands in for the platform of one worker: runs tasks under leases, and never gives an accelerator twice. */
+export class PlatformStandIn {
+  /** Every task that ran, in the order of its end; those still running are last. */
+  private readonly past: TaskRecord[] = []
+  private readonly running = new Map<string, Task>()
+  private readonly ended = new Set<string>()
+  /** Starts that were refused because an accelerator was taken. */
+  conflicts = 0
+  private server!: FaultyServer
+
+  private constructor (private readonly accelerators: number) {}
+
+  /**
+   * Starts a platform.
+   * @param port - the port, 0 for any
+   * @param accelerators - accelerators in the worker's row
+   * @returns the listening platform
+   */
+  static async create (port = 0, accelerators = 8): Promise<PlatformStandIn> {
+    const platform = new PlatformStandIn(accelerators)
+    platform.server = await FaultyServer.create(port, (request) => platform.answer(request))
+    return platform
+  }
+
+  /**
+   * Where it listens.
+   * @returns the base URL
+   */
+  get url (): string {
+    return this.server.url
+  }
+
+  /**
+   * All that ran and runs.
+   * @returns one record for each task
+   */
+  get records (): readonly TaskRecord[] {
+    const present = [...this.running.values()].map(({ key, mask, slots, startedAt }) => ({ key, mask, slots, startedAt, endedAt: 0 }))
+    return [...this.past, ...present]
+  }
+
+  /**
+   * Puts a fault in force.
+   * @param order - the fault
+   */
+  fail (order: FaultOrder): void {
+    this.server.fail(order)
+  }
+
+  /**
+   * Ends a task as if by itself.
+   * @param key - its name
+   * @param end - how it ends
+   */
+  kill (key: string, end = TaskEnd.Died): void {
+    this.finish(key, end)
+  }
+
+  /** Stops listening and closes all connections. */
+  async close (): Promise<void> {
+    for (const task of this.running.values()) clearTimeout(task.timer)
+    await this.server.close()
+  }
+
+  private answer ({ method, path, body }: ReceivedRequest): Reply {
+    const [, root = '', name = '', action = ''] = path.split('/')
+    const key = decodeURIComponent(name)
+    const handle = routes[`${method} ${root}${name && '/KEY'}${action && `/${action}`}`]
+    return handle === undefined ? json(404, {}) : handle(this, key, body)
+  }
+
+  /** @internal */
+  put (key: string, order: TaskOrder): Reply {
+    if (this.ended.has(key)) return json(410, { reason: 'ended' })
+    if (this.running.has(key)) return json(200, { state: 'running' })
+    const taken = [...this.running.values()].reduce((mask, task) => mask | task.mask, 0)
+    const outside = order.mask >= 2 ** this.accelerators
+    if ((taken & order.mask) !== 0 || outside) { this.conflicts++; return json(409, { reason: 'accelerator-taken' }) }
+    this.running.set(key, { ...order, key, startedAt: Date.now(), timer: this.leaseTimer(key, order.leaseUntil) })
+    return json(201, { state: 'running' })
+  }
+
+  /** @internal */
+  end (key: string, end: TaskEnd): Reply {
+    this.finish(key, end)
+    return json(200, { state: 'ended' })
+  }
+
+  /** @internal */
+  renew (keys: readonly string[], leaseUntil: number): Reply {
+    for (const key of keys) {
+      const task = this.running.get(key)
+      if (task === undefined) continue
+      clearTimeout(task.timer)
+      this.running.set(key, { ...task, leaseUntil, timer: this.leaseTimer(key, leaseUntil) })
+    }
+    return json(200, {})
+  }
+
+  /** @internal */
+  list (): Reply {
+    const running = [...this.running.values()].map(({ timer, ...task }) => ({ ...task, state: 'running' }))
+    const ended = this.past.slice(-SHOWN_ENDED_TASKS).map((task) => ({ ...task, state: 'ended' }))
+    return json(200, { tasks: [...running, ...ended] })
+  }
+
+  /** @internal */
+  usage (): Reply {
+    const seen = [...this.running.values()].filter(({ startedAt }) => Date.now() - startedAt >= USAGE_LAG_MILLISECONDS)
+    const tasks = seen.map(({ key, processors, memoryMegabytes }) => ({ key, processors, memoryMegabytes }))
+    return json(200, { tasks })
+  }
+
+  private finish (key: string, end: TaskEnd): void {
+    const task = this.running.get(key)
+    this.running.delete(key)
+    this.ended.add(key)
+    if (this.ended.size > REMEMBERED_NAMES) this.ended.delete([...this.ended.keys()][0] ?? '')
+    if (task === undefined) return
+    clearTimeout(task.timer)
+    const { mask, slots, startedAt } = task
+    this.past.push({ key, mask, slots, startedAt, endedAt: Date.now(), end })
+  }
+
+  private leaseTimer (key: string, leaseUntil: number): NodeJS.Timeout {
+    return setTimeout(() => { this.finish(key, TaskEnd.LeaseOver) }, Math.max(0, leaseUntil - Date.now()))
+  }
+}
+
+const routes: Readonly<Record<string, (platform: PlatformStandIn, key: string, body: Buffer) => Reply>> = {
+  'PUT tasks/KEY': (platform, key, body) => platform.put(key, JSON.parse(body.toString()) as TaskOrder),
+  'GET tasks': (platform) => platform.list(),
+  'GET usage': (platform) => platform.usage(),
+  'GET ran': (platform) => json(200, platform.records),
+  'POST tasks/KEY/stop': (platform, key) => platform.end(key, TaskEnd.Stopped),
+  'POST tasks/KEY/checkpoint': (platform, key) => platform.end(key, TaskEnd.Checkpointed),
+  'POST tasks/KEY/throttle': () => json(200, { state: 'throttled' }),
+  'POST renewals': (platform, _key, body) => {
+    const { keys, leaseUntil } = JSON.parse(body.toString()) as { keys: string[], leaseUntil: number }
+    return platform.renew(keys, leaseUntil)
+  }
+}
--- /dev/null
+++ b/test/fake-control.ts
@@ -0,0 +1,126 @@
+import { Server, ServerCredentials, type ServerDuplexStream, type UntypedServiceImplementation } from '@grpc/grpc-js'
+import {
+  ControlService, type AgentMessage, type AttemptKey, type AttemptReport, type ControlMessage, type ReservationReply, type Reserve, type Start
+} from '../src/wire'
+import { until } from './until'
+
+type Stream = ServerDuplexStream<AgentMessage, ControlMessage>
+type Sent = NonNullable<AgentMessage['message']>
+type Case = Sent['$case']
+type ValueOf<Name extends Case> = Extract<Sent, { $case: Name }>['value']
+type Body = NonNullable<ControlMessage['message']>
+
+/** The control side of one agent's stream, played by a test. It renews leases and does nothing else by itself. */
+export class FakeControl {
+  readonly received: AgentMessage[] = []
+  term = 1
+  configuration = 1
+  leaseMilliseconds = 10_000
+  heartbeatMilliseconds = 50
+  renews = true
+  acknowledges = true
+  /** Where set, agents are sent there. */
+  leader = ''
+  streams: Stream[] = []
+  address = ''
+  private readonly server = new Server()
+
+  static async create (): Promise<FakeControl> {
+    const control = new FakeControl()
+    control.server.addService(ControlService, { attach: (stream: Stream) => { control.attach(stream) } } as unknown as UntypedServiceImplementation)
+    const port = await new Promise<number>((resolve, reject) => {
+      control.server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => { error === null ? resolve(bound) : reject(error) })
+    })
+    control.address = `127.0.0.1:${port}`
+    return control
+  }
+
+  close (): void { this.server.forceShutdown() }
+
+  /** Ends all streams as a dying leader does. */
+  cut (): void {
+    for (const stream of this.streams) stream.destroy()
+    this.streams = []
+  }
+
+  send (message: Body): void {
+    this.streams.at(-1)?.write({ term: this.term, configuration: this.configuration, message })
+  }
+
+  reserve (key: AttemptKey, fields: Partial<Reserve> = {}): void {
+    const value = { key, acceleratorMask: 0, slots: 1, processors: 1, memoryMegabytes: 1, account: 'a', incarnation: this.incarnation, ...fields }
+    this.send({ $case: 'reserve', value })
+  }
+
+  start (key: AttemptKey, payload: object, fields: Partial<Start> = {}): void {
+    const body = Buffer.from(JSON.stringify(payload))
+    const value: Start = {
+      key,
+      lead: true,
+      idempotent: false,
+      checkpointable: false,
+      declaredSeconds: 1,
+      deadline: 0,
+      payload: { contentType: 'application/json', body, digest: Buffer.alloc(0) },
+      answerBytesLimit: 0,
+      workers: ['w'],
+      incarnation: this.incarnation,
+      ...fields
+    }
+    this.send({ $case: 'start', value })
+  }
+
+  async run (key: AttemptKey, payload: object, fields: Partial<Start> = {}, mask = 0): Promise<AttemptReport> {
+    this.reserve(key, { acceleratorMask: mask })
+    await this.reply(key)
+    this.start(key, payload, fields)
+    return await this.report(key)
+  }
+
+  get incarnation (): string {
+    return this.announcements.at(-1)?.incarnation ?? ''
+  }
+
+  get announcements () { return this.of('announce') }
+  get reports () { return this.of('report') }
+
+  async attached (): Promise<void> { await until(() => this.of('heartbeat').length > 0) }
+
+  async report (key: AttemptKey): Promise<AttemptReport> {
+    return await until(() => this.reports.find((report) => same(report.key, key)))
+  }
+
+  async reply (key: AttemptKey): Promise<ReservationReply> {
+    return await until(() => this.of('reservation').find((reply) => same(reply.key, key)))
+  }
+
+  private of<Name extends Case> (name: Name): Array<ValueOf<Name>> {
+    return this.received.flatMap(({ message }) => message?.$case === name ? [message.value as ValueOf<Name>] : [])
+  }
+
+  private attach (stream: Stream): void {
+    this.streams.push(stream)
+    stream.on('error', () => {}).on('end', () => { stream.end() })
+    stream.on('data', (message: AgentMessage) => { this.take(message) })
+  }
+
+  private take ({ message }: AgentMessage): void {
+    this.received.push({ message })
+    if (message?.$case === 'announce') this.welcome()
+    if (message?.$case === 'heartbeat' && this.renews) this.send({ $case: 'renewal', value: { sequence: message.value.sequence } })
+    if (message?.$case === 'report' && this.acknowledges) this.send({ $case: 'acknowledge', value: { key: message.value.key } })
+  }
+
+  private welcome (): void {
+    const { leaseMilliseconds, heartbeatMilliseconds, leader } = this
+    if (leader === '') this.send({ $case: 'welcome', value: { leaseMilliseconds, heartbeatMilliseconds } })
+    else {
+      this.send({ $case: 'refusal', value: { code: 'not-leader', message: '', verdict: 1, retryCanHelp: true, retryAfterMilliseconds: 0, leader, problems: [] } })
+      this.streams.pop()?.end()
+    }
+  }
+}
+
+function same (left: AttemptKey | undefined, right: AttemptKey): boolean {
+  return left?.job === right.job && left.attempt === right.attempt
+}
