--- /dev/null
+++ b/src/control/replica.ts
@@ -0,0 +1,489 @@
+/**
+ * One control host's copy of the replicated log: runs the pure core with a clock, a data folder and the other hosts.
+ * What several inputs put out is written with one sync; messages that promise something leave after it.
+ */
+import { randomBytes } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import type { ChannelCredentials, Server } from '@grpc/grpc-js'
+import {
+  AgreementRefusal, EntryKind, InputKind, MemberChangeKind, Role, currentMembers, defaultTiming, foundingEntry, isReadyLeader, lastIndex,
+  membersAt, startAgreement, stepAgreement, termAt,
+  type AgreementState, type Entry, type HardState, type Input, type MemberChange, type Message, type Output, type ProposedEntry, type Recovered,
+  type SnapshotMessage, type Timing
+} from '../core/agreement'
+import type { IdentifyReply, JoinReply, JoinRequest } from '../wire/index'
+import { FolderDisk, type Disk } from './disk'
+import { Peers } from './peers'
+import { PendingCalls, type MemberChangeError, type NotLeader } from './pending'
+import { Storage, StorageErrorKind, type Snapshot, type StorageError } from './storage'
+
+export { AgreementRefusal, MemberChangeKind, Role, type MemberChange, type MemberChangeError, type NotLeader, type ProposedEntry }
+
+const TICK_MILLISECONDS = 25
+const JOIN_MILLISECONDS = 300
+const REPAIR_MILLISECONDS = 500
+const SNAPSHOT_BYTES = 4 * 1024 * 1024
+const KEPT_BYTES = 1024 * 1024
+const ENTRY_BYTES = 32
+const IDENTITY_BYTES = 6
+
+/** One committed entry. */
+export interface CommittedEntry {
+  readonly index: number
+  readonly term: number
+  /** Empty for the leader's own first entry and for changes of members. */
+  readonly data: Uint8Array
+}
+
+/** One member as a replica knows it. */
+export interface MemberStatus {
+  readonly identity: string
+  readonly address: string
+  readonly voter: boolean
+  /** Last index known to be synced there; only the leader knows of others. */
+  readonly match: number
+}
+
+/** What a replica knows of itself and the others. */
+export interface ReplicaStatus {
+  readonly identity: string
+  readonly cluster: string
+  readonly role: Role
+  readonly term: number
+  /** Identity of the leader, empty for none. */
+  readonly leader: string
+  readonly commit: number
+  readonly lastIndex: number
+  readonly snapshotIndex: number
+  readonly members: readonly MemberStatus[]
+}
+
+/** What a replica needs, and whom it tells. */
+export interface ReplicaOptions {
+  /** Path of the data folder. */
+  readonly folder: string
+  /** This host's own peer address, IP number and port. */
+  readonly address: string
+  /** Addresses of the first voters; used only while the data folder belongs to no cluster. */
+  readonly bootstrap: readonly string[]
+  /** Name of this host in the settings. */
+  readonly host: string
+  /** Gets the Peer service; the caller binds it. */
+  readonly server: Server
+  readonly credentials?: ChannelCredentials
+  /** Called in order, for each index once after a start or a restore. */
+  onCommit (entries: readonly CommittedEntry[]): void
+  onRestore (snapshot: Uint8Array, index: number): void
+  takeSnapshot (): Uint8Array
+  /** Leader is told only when everything before the leader's own first entry was handed to onCommit. */
+  onRole (role: Role, term: number): void
+  /** The data folder failed; the replica has stopped taking part. */
+  onFailure?(error: StorageError): void
+  log (event: string, fields: object): void
+  readonly timing?: Timing
+  /** Bytes of entries after which a snapshot is taken. */
+  readonly snapshotBytes?: number
+  /** In place of the folder, for tests and measurements. */
+  readonly disk?: Disk
+}
+
+/** One copy of the log. */
+export class Replica {
+  private readonly peers: Peers
+  private readonly outputs: Output[] = []
+  private delivering = false
+  private flushDue = false
+  private writing = false
+  private stopped = false
+  private founding = false
+  /** Nothing is received before the start, because the start sets the state anew. */
+  private started = false
+  private timer?: NodeJS.Timeout
+  private nextJoin = 0
+  private nextRepair = 0
+  private told = { role: Role.Learner, term: 0 }
+  private entriesToWrite: Entry[] = []
+  private hardStateToWrite?: HardState
+  private snapshotToWrite?: Snapshot
+  private afterSync: Message[] = []
+  private bytesSinceSnapshot = 0
+  private savingSnapshot = false
+  private readonly pending = PendingCalls.create()
+  private idle: Array<() => void> = []
+
+  private constructor (
+    private readonly options: ReplicaOptions,
+    private readonly storage: Storage,
+    private recovered: Recovered,
+    private state: AgreementState
+  ) {
+    this.peers = Peers.create(options.server, options.address, {
+      identity: () => this.state.identity,
+      cluster: () => this.state.cluster,
+      members: () => currentMembers(this.state),
+      receive: (message) => { if (this.started && !this.founding) this.handle({ kind: InputKind.Receive, message }) },
+      identify: () => this.identify(),
+      join: (request) => this.onJoin(request),
+      snapshot: async () => await this.storedSnapshot(),
+      log: options.log
+    }, options.credentials)
+  }
+
+  /**
+   * Opens or recovers the data folder and adds the Peer service to the server.
+   * @param options - what the replica needs, and whom it tells
+   * @returns the replica, not started, or why the data folder cannot be used
+   */
+  static async create (options: ReplicaOptions): Promise<Result<Replica, StorageError>> {
+    const disk = await openDisk(options)
+    if (disk.isErr()) return err(disk.error)
+    const opened = await Storage.open(disk.value, () => randomBytes(IDENTITY_BYTES).toString('hex'))
+    if (opened.isErr()) return err(opened.error)
+    const { storage, recovered } = opened.value
+    const snapshot = await storage.readSnapshot()
+    if (snapshot.isErr()) return err(snapshot.error)
+    const replica = new Replica(options, storage, recovered, startState(recovered, options))
+    if (snapshot.value !== undefined) options.onRestore(snapshot.value.data, snapshot.value.head.index)
+    return ok(replica)
+  }
+
+  /** Begins to take part. The server must be bound by now. */
+  start (): void {
+    this.state = startState(this.recovered, this.options)
+    this.recovered = { ...this.recovered, entries: [] }
+    this.started = true
+    this.timer = setInterval(() => { this.tick() }, TICK_MILLISECONDS)
+    this.tick()
+  }
+
+  /**
+   * Puts data into the log. The commit is told by onCommit with the same index and term; if leadership is lost
+   * first, onRole tells it and the entry may or may not be committed later.
+   * @param data - what the entry carries
+   * @returns the place in the log, or that this host does not lead
+   */
+  propose (data: Uint8Array): Result<ProposedEntry, NotLeader> {
+    const output = this.handle({ kind: InputKind.Propose, data })
+    return output.proposed === undefined ? err(this.notLeader(output.refusal)) : ok(output.proposed)
+  }
+
+  /**
+   * Confirms with a quorum that this host still leads. What was committed before the call has then been handed to onCommit.
+   * @returns nothing when a quorum confirmed it, or that this host does not lead
+   */
+  async confirmLeadership (): Promise<Result<void, NotLeader>> {
+    return await new Promise((resolve) => {
+      const identifier = this.pending.addRead(resolve)
+      const output = this.handle({ kind: InputKind.Read, identifier })
+      if (output.refusal !== undefined) this.pending.settleRead(identifier, err(this.notLeader(output.refusal)))
+    })
+  }
+
+  /**
+   * @returns the address of the leader this host knows, undefined for none
+   */
+  leaderAddress (): string | undefined {
+    const { leader, identity } = this.state
+    if (leader === identity) return isReadyLeader(this.state) ? this.options.address : undefined
+    return leader === '' ? undefined : this.peers.addressOf(leader)
+  }
+
+  /**
+   * @returns what this host knows of itself and the others
+   */
+  status (): ReplicaStatus {
+    const { identity, cluster, term, leader, commit, snapshot, peers } = this.state
+    const members = currentMembers(this.state).map((member) => ({
+      ...member, match: member.identity === identity ? lastIndex(this.state) : peers.get(member.identity)?.match ?? 0
+    }))
+    return { identity, cluster, role: this.role, term, leader, commit, lastIndex: lastIndex(this.state), snapshotIndex: snapshot.index, members }
+  }
+
+  /**
+   * Changes one member.
+   * @param change - the change
+   * @returns nothing once it is committed, or why it was not made
+   */
+  async changeMembers (change: MemberChange): Promise<Result<void, MemberChangeError>> {
+    return await new Promise((resolve) => {
+      const output = this.handle({ kind: InputKind.ChangeMembers, change })
+      if (output.proposed === undefined) resolve(err({ ...this.notLeader(output.refusal), mayHaveRun: false }))
+      else if (output.proposed.index <= this.state.commit) resolve(ok(undefined))
+      else this.pending.addChange(output.proposed, resolve)
+    })
+  }
+
+  /**
+   * Hands leadership to the voter that is furthest.
+   * @returns nothing once this host no longer leads, or why it still does
+   */
+  async transferLeadership (): Promise<Result<void, NotLeader>> {
+    return await new Promise((resolve) => {
+      const output = this.handle({ kind: InputKind.Transfer })
+      if (output.refusal !== undefined) resolve(err(this.notLeader(output.refusal)))
+      else this.pending.addTransfer(resolve)
+      this.settleTransfers()
+    })
+  }
+
+  /** Hands over leadership, writes what is under way and closes everything. */
+  async stop (): Promise<void> {
+    if (this.state.role === Role.Leader) await this.transferLeadership()
+    this.stopped = true
+    clearInterval(this.timer)
+    if (this.writing) await new Promise<void>((resolve) => { this.idle.push(resolve) })
+    this.pending.abandon(this.notLeader())
+    this.peers.close()
+    await this.storage.close()
+  }
+
+  /** The role as told to the layer above: a leader that is not ready is still a candidate. */
+  private get role (): Role {
+    return this.state.role === Role.Leader && !isReadyLeader(this.state) ? Role.Candidate : this.state.role
+  }
+
+  private notLeader (refusal = AgreementRefusal.NotLeader): NotLeader {
+    return { refusal, leader: this.leaderAddress() }
+  }
+
+  private handle (input: Input): Output {
+    if (this.stopped) return { ...noOutput, refusal: AgreementRefusal.NotLeader }
+    const { state, output } = stepAgreement(this.state, performance.now(), input)
+    this.state = state
+    this.outputs.push(output)
+    this.deliver()
+    return output
+  }
+
+  /** Takes outputs in order, also those that come up while one is handed to the layer above. */
+  private deliver (): void {
+    if (this.delivering) return
+    this.delivering = true
+    for (let output = this.outputs.shift(); output !== undefined; output = this.outputs.shift()) this.deliverOne(output)
+    this.delivering = false
+    this.scheduleFlush()
+  }
+
+  private deliverOne (output: Output): void {
+    if (output.restore !== undefined) this.restore(output.restore)
+    this.entriesToWrite.push(...output.append)
+    this.hardStateToWrite = output.hardState ?? this.hardStateToWrite
+    this.afterSync.push(...output.afterSync)
+    for (const message of output.messages) this.peers.send(message)
+    if (output.committed.length > 0) this.commit(output.committed)
+    for (const identifier of output.confirmed) this.pending.settleRead(identifier, ok(undefined))
+    for (const identifier of output.failed) this.pending.settleRead(identifier, err(this.notLeader()))
+    this.tellRole()
+  }
+
+  private restore (message: SnapshotMessage): void {
+    const { head, data } = message
+    this.entriesToWrite = []
+    this.snapshotToWrite = { head, data }
+    this.bytesSinceSnapshot = 0
+    this.options.log('restored', { index: head.index, bytes: data.length })
+    this.options.onRestore(data, head.index)
+  }
+
+  private commit (entries: readonly Entry[]): void {
+    for (const entry of entries) this.bytesSinceSnapshot += entry.data.length + ENTRY_BYTES
+    this.options.onCommit(entries.map((entry) => ({
+      index: entry.index, term: entry.term, data: entry.kind === EntryKind.Data ? entry.data : noData
+    })))
+    this.pending.settleChanges(this.state.commit, (index) => termAt(this.state, index), this.notLeader())
+    if (entries.some((entry) => entry.kind === EntryKind.Members)) this.peers.forgetOthers()
+    if (this.bytesSinceSnapshot >= (this.options.snapshotBytes ?? SNAPSHOT_BYTES) && !this.savingSnapshot) this.saveSnapshot()
+  }
+
+  private tellRole (): void {
+    this.settleTransfers()
+    const { role, state: { term } } = this
+    if (this.state.role === Role.Leader && role !== Role.Leader) return
+    if (role === this.told.role && term === this.told.term) return
+    this.told = { role, term }
+    if (role !== Role.Leader) this.pending.abandonChanges(this.notLeader())
+    this.options.log('role', { role, term, leader: this.state.leader })
+    this.options.onRole(role, term)
+  }
+
+  private scheduleFlush (): void {
+    if (this.flushDue || this.stopped) return
+    this.flushDue = true
+    setImmediate(() => {
+      this.flushDue = false
+      this.flush()
+    })
+  }
+
+  private flush (): void {
+    if (this.stopped) return
+    const { state, output } = stepAgreement(this.state, performance.now(), { kind: InputKind.Flush })
+    this.state = state
+    for (const message of output.messages) this.peers.send(message)
+    this.write()
+  }
+
+  /** Writes all there is with one sync, then sends what waited for it, until nothing is left. */
+  private async write (): Promise<void> {
+    if (this.writing) return
+    this.writing = true
+    while (this.somethingToWrite() && await this.writeBatch());
+    this.writing = false
+    for (const resolve of this.idle.splice(0)) resolve()
+  }
+
+  private somethingToWrite (): boolean {
+    return this.entriesToWrite.length > 0 || this.hardStateToWrite !== undefined || this.snapshotToWrite !== undefined || this.afterSync.length > 0
+  }
+
+  private async writeBatch (): Promise<boolean> {
+    const batch = { entries: this.entriesToWrite, hardState: this.hardStateToWrite, snapshot: this.snapshotToWrite }
+    const messages = this.afterSync
+    this.entriesToWrite = []
+    this.hardStateToWrite = undefined
+    this.snapshotToWrite = undefined
+    this.afterSync = []
+    if (batch.entries.length > 0 || batch.hardState !== undefined || batch.snapshot !== undefined) {
+      const written = await this.storage.write(batch)
+      if (written.isErr()) { this.fail(written.error); return false }
+    }
+    for (const message of messages) this.peers.send(message)
+    const last = batch.entries.at(-1)
+    if (last !== undefined) this.handle({ kind: InputKind.Synced, index: last.index, term: last.term })
+    return true
+  }
+
+  /** After a failed write nothing on this host can be promised any more. */
+  private fail (error: StorageError): void {
+    if (this.stopped) return
+    this.stopped = true
+    clearInterval(this.timer)
+    this.options.log('storage-failed', error)
+    this.pending.abandon(this.notLeader())
+    this.peers.close()
+    if (this.told.role === Role.Leader) this.options.onRole(Role.Follower, this.state.term)
+    this.options.onFailure?.(error)
+  }
+
+  private async saveSnapshot (): Promise<void> {
+    this.savingSnapshot = true
+    this.bytesSinceSnapshot = 0
+    const index = this.state.commit
+    const head = { index, term: termAt(this.state, index) ?? 0, members: membersAt(this.state, index) }
+    const saved = await this.storage.saveSnapshot({ head, data: this.options.takeSnapshot() })
+    this.savingSnapshot = false
+    if (saved.isErr()) { this.fail(saved.error); return }
+    this.handle({ kind: InputKind.Compact, head, keepFrom: keepFrom(this.state, index) })
+  }
+
+  private async storedSnapshot (): Promise<Snapshot | undefined> {
+    const snapshot = await this.storage.readSnapshot()
+    if (snapshot.isOk()) return snapshot.value
+    this.fail(snapshot.error)
+    return undefined
+  }
+
+  private settleTransfers (): void {
+    const { role, transfer } = this.state
+    if (role === Role.Leader && transfer !== undefined) return
+    this.pending.settleTransfers(role === Role.Leader ? err({ refusal: AgreementRefusal.NoSuccessor }) : ok(undefined))
+  }
+
+  private tick (): void {
+    const now = performance.now()
+    if (this.state.cluster === '') {
+      if (now < this.nextJoin || this.founding) return
+      this.nextJoin = now + JOIN_MILLISECONDS
+      this.enter()
+      return
+    }
+    this.handle({ kind: InputKind.Tick })
+    if (now >= this.nextRepair) {
+      this.nextRepair = now + REPAIR_MILLISECONDS
+      this.repair()
+    }
+  }
+
+  /**
+   * A host of no cluster: the first of the bootstrap list founds one, but only when every other of the list says
+   * that it belongs to none. In all other cases it asks to be added as a learner.
+   */
+  private async enter (): Promise<void> {
+    const { bootstrap, address } = this.options
+    const others = bootstrap.filter((other) => other !== address)
+    const answers = await Promise.all(others.map(async (other) => ({ address: other, reply: await this.peers.identify(other) })))
+    const known = answers.flatMap((answer) => answer.reply.isOk() ? [{ address: answer.address, ...answer.reply.value }] : [])
+    if (this.stopped || this.founding || this.state.cluster !== '') return
+    const inCluster = known.find((answer) => answer.cluster !== '')
+    if (inCluster !== undefined) { await this.askToJoin(inCluster.leader === '' ? inCluster.address : inCluster.leader); return }
+    if (bootstrap[0] === address && known.length === others.length) await this.found(known)
+  }
+
+  private async askToJoin (address: string): Promise<void> {
+    const reply = await this.peers.join(address, this.state.identity)
+    this.options.log('join', { asked: address, accepted: reply.isOk() && reply.value.accepted })
+  }
+
+  private async found (others: ReadonlyArray<{ readonly identity: string, readonly address: string }>): Promise<void> {
+    this.founding = true
+    const { identity } = this.state
+    const voters = [{ identity, address: this.options.address }, ...others]
+    const members = voters.map((voter) => ({ identity: voter.identity, address: voter.address, voter: true }))
+    const entry = foundingEntry(members)
+    const hardState = { cluster: randomBytes(IDENTITY_BYTES).toString('hex'), term: entry.term, vote: '' }
+    const written = await this.storage.write({ entries: [entry], hardState })
+    if (written.isErr()) { this.fail(written.error); return }
+    this.state = startState({ ...this.recovered, identity, hardState, entries: [entry] }, this.options)
+    this.options.log('founded', { cluster: hardState.cluster, members })
+    this.founding = false
+  }
+
+  private identify (): IdentifyReply {
+    return { identity: this.state.identity, cluster: this.founding ? 'founding' : this.state.cluster, leader: this.leaderAddress() ?? '' }
+  }
+
+  private onJoin (request: JoinRequest): JoinReply {
+    const output = this.handle({ kind: InputKind.ChangeMembers, change: { kind: MemberChangeKind.AddLearner, ...request } })
+    const accepted = output.proposed !== undefined || output.refusal === AgreementRefusal.AlreadyMember
+    return { accepted, leader: this.leaderAddress() ?? '' }
+  }
+
+  /** A voter whose host came back with a new identity is replaced by it: first the new one votes, then the old one goes. */
+  private repair (): void {
+    if (!isReadyLeader(this.state)) return
+    const members = currentMembers(this.state)
+    const voters = members.filter((member) => member.voter)
+    const newcomer = members.find((member) => !member.voter && voters.some((voter) => voter.address === member.address))
+    const replaced = voters.find((voter, position) => voters.slice(position + 1).some((later) => later.address === voter.address))
+    if (replaced !== undefined) this.handle({ kind: InputKind.ChangeMembers, change: { kind: MemberChangeKind.Remove, identity: replaced.identity } })
+    else if (newcomer !== undefined) this.handle({ kind: InputKind.ChangeMembers, change: { kind: MemberChangeKind.Promote, identity: newcomer.identity } })
+  }
+}
+
+const noData = new Uint8Array(0)
+const noOutput: Output = { append: [], messages: [], afterSync: [], committed: [], confirmed: [], failed: [] }
+
+async function openDisk (options: ReplicaOptions): Promise<Result<Disk, StorageError>> {
+  if (options.disk !== undefined) return ok(options.disk)
+  try {
+    return ok(await FolderDisk.create(options.folder))
+  } catch (error) {
+    return err({ kind: StorageErrorKind.Failed, file: options.folder, message: error instanceof Error ? error.message : String(error) })
+  }
+}
+
+function startState (recovered: Recovered, options: ReplicaOptions): AgreementState {
+  const seed = randomBytes(4).readInt32LE()
+  return startAgreement(recovered, options.timing ?? defaultTiming, seed, performance.now())
+}
+
+/** The first entry to keep in memory for followers that are a little behind a snapshot. */
+function keepFrom (state: AgreementState, index: number): number {
+  let bytes = 0
+  let from = index
+  while (from > state.baseIndex && bytes < KEPT_BYTES) {
+    bytes += (state.entries.get(from - state.baseIndex - 1)?.data.length ?? 0) + ENTRY_BYTES
+    from -= 1
+  }
+  return from + 1
+}
--- /dev/null
+++ b/test/agreement-replica.test.ts
@@ -0,0 +1,116 @@
+import { Server, ServerCredentials } from '@grpc/grpc-js'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, expect, test } from 'vitest'
+import { Replica, Role, type CommittedEntry } from '../src/control/replica'
+
+interface Host {
+  readonly replica: Replica
+  readonly server: Server
+  readonly address: string
+  readonly committed: CommittedEntry[]
+  role: Role
+}
+
+const cleanups: Array<() => Promise<void>> = []
+afterEach(async () => { for (const cleanup of cleanups.splice(0).reverse()) await cleanup() })
+
+async function freePort (): Promise<number> {
+  const server = new Server()
+  const port = await bind(server, '127.0.0.1:0')
+  server.forceShutdown()
+  return port
+}
+
+async function bind (server: Server, address: string): Promise<number> {
+  return await new Promise((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => { if (error === null) resolve(port); else reject(error) })
+  })
+}
+
+async function startHost (folder: string, address: string, bootstrap: readonly string[]): Promise<Host> {
+  const server = new Server()
+  const committed: CommittedEntry[] = []
+  const created = await Replica.create({
+    folder,
+    address,
+    bootstrap,
+    host: address,
+    server,
+    onCommit: (entries) => { committed.push(...entries) },
+    onRestore: () => {},
+    takeSnapshot: () => new Uint8Array(0),
+    onRole: (role) => { host.role = role },
+    log: () => {}
+  })
+  const host: Host = { replica: created._unsafeUnwrap(), server, address, committed, role: Role.Learner }
+  await bind(server, address)
+  host.replica.start()
+  return host
+}
+
+async function stopHost (host: Host): Promise<void> {
+  await host.replica.stop()
+  host.server.forceShutdown()
+}
+
+async function until<T> (find: () => T | undefined): Promise<T> {
+  for (;;) {
+    const found = find()
+    if (found !== undefined) return found
+    await new Promise((resolve) => setTimeout(resolve, 10))
+  }
+}
+
+function texts (host: Host): string[] {
+  return host.committed.filter((entry) => entry.data.length > 0).map((entry) => Buffer.from(entry.data).toString())
+}
+
+async function startCluster (count: number): Promise<{ hosts: Host[], folder: string, addresses: string[] }> {
+  const folder = await mkdtemp(join(tmpdir(), 'bramleyflow-'))
+  cleanups.push(async () => { await rm(folder, { recursive: true }) })
+  const addresses: string[] = []
+  for (let host = 0; host < count; host++) addresses.push(`127.0.0.1:${await freePort()}`)
+  const hosts = await Promise.all(addresses.map(async (address, position) => await startHost(join(folder, String(position)), address, addresses)))
+  return { hosts, folder, addresses }
+}
+
+const leaderOf = (hosts: readonly Host[]): Host | undefined => hosts.find((host) => host.role === Role.Leader)
+
+test('one host alone founds, commits and recovers after a restart', async () => {
+  const { hosts, folder, addresses } = await startCluster(1)
+  const first = await until(() => leaderOf(hosts))
+  first.replica.propose(Buffer.from('one'))
+  await until(() => texts(first).length === 1 ? true : undefined)
+  expect((await first.replica.confirmLeadership()).isOk()).toBe(true)
+  await stopHost(first)
+  const again = await startHost(join(folder, '0'), addresses[0] ?? '', addresses)
+  cleanups.push(async () => { await stopHost(again) })
+  await until(() => texts(again).length === 1 ? true : undefined)
+  expect(texts(again)).toEqual(['one'])
+  expect(again.replica.status().identity).toBe(first.replica.status().identity)
+})
+
+test('three hosts agree, hand over on a planned stop, and take a host with an emptied folder as a new member', async () => {
+  const { hosts, folder, addresses } = await startCluster(3)
+  const leader = await until(() => leaderOf(hosts))
+  leader.replica.propose(Buffer.from('before'))
+  await until(() => hosts.every((host) => texts(host).length === 1) ? true : undefined)
+  const lost = leader.replica.status().identity
+  await stopHost(leader)
+  const others = hosts.filter((host) => host !== leader)
+  const successor = await until(() => leaderOf(others))
+  await rm(join(folder, String(hosts.indexOf(leader))), { recursive: true })
+  const renewed = await startHost(join(folder, String(hosts.indexOf(leader))), leader.address, addresses)
+  cleanups.push(async () => { for (const host of [...others, renewed]) await stopHost(host) })
+  const members = await until(() => {
+    const found = successor.replica.status().members
+    return found.length === 3 && found.every((member) => member.voter && member.identity !== lost) ? found : undefined
+  })
+  expect(members.map((member) => member.address).sort()).toEqual([...addresses].sort())
+  const now = await until(() => leaderOf([...others, renewed]))
+  now.replica.propose(Buffer.from('after'))
+  await until(() => texts(renewed).length === 2 ? true : undefined)
+  expect(texts(renewed)).toEqual(['before', 'after'])
+})
