--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -1,13 +1,45 @@
-import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
-import { RemovalRule, Section, type Document } from './document'
+import { canonicalDigest } from './canonical'
+import { consequenceLines, consequences, jobsEndedBy } from './consequences'
+import type { Document, Section } from './document'
+import { danglingReferences } from './document-rules'
 import type { Draft } from './draft'
 import { EffectKind } from './effect'
-import { hasEnded, Reason } from './job'
+import { hasEnded, Reason, type Job } from './job'
 import { cancelJob, queueJob } from './jobs'
-import type { PutConfiguration } from './transaction'
+import type { ConfigurationState, StoredPut } from './state'
+import type { PutConfiguration, SectionNumber } from './transaction'
 import { notRun, RefusalCode, type Refusal } from './verdict'
 
+/** Milliseconds for which the answer to an accepted change is kept for resends. */
+export const PUT_RETENTION_MILLISECONDS = 7 * 24 * 3_600_000
+/** Most answers kept at once, the newest ones. */
+export const MOST_STORED_PUTS = 10_000
+/** Most lines on what a change did that are kept with its answer and in the record. */
+const MOST_CONSEQUENCE_LINES = 20
+
+/** What a writer sends. */
+export interface PutRequest {
+  readonly team: string
+  /** Made by the writer; the same one is sent again after a lost answer. */
+  readonly requestIdentifier: string
+  /** The number of each section to be replaced, as the writer read it. */
+  readonly read: readonly SectionNumber[]
+  /** The sections to replace, as one JSON object. */
+  readonly sectionsJson: string
+}
+
+/** What a writer gets for an accepted change, the first time and with each resend. */
+export interface PutAnswer {
+  /** Number of the whole document, and from then on of each changed section. */
+  readonly number: number
+  readonly sections: readonly SectionNumber[]
+  /** SHA-256 of the whole document, in hexadecimal. */
+  readonly documentDigest: string
+  /** What the change did, one line each. */
+  readonly consequences: readonly string[]
+}
+
 /**
  * Replaces sections of the document when the numbers match, and brings jobs in line with it.
  * @param draft - the change being made
@@ -16,50 +48,153 @@
  */
 export function putConfiguration (draft: Draft, transaction: PutConfiguration): Result<void, Refusal> {
   const { configuration } = draft
-  const digest = putDigest(transaction)
-  const stored = configuration.puts.get(transaction.requestIdentifier)
+  const digest = transaction.requestDigest ?? requestDigest(transaction)
+  const stored = configuration.puts.get(putKey(transaction.team, transaction.requestIdentifier))
   if (stored !== undefined) {
     return stored.digest === digest ? ok(undefined) : err(notRun(RefusalCode.IdentifierReused, 'this request identifier was used for another change'))
   }
   const changes = JSON.parse(transaction.sectionsJson) as Partial<Document>
-  const changed = Object.keys(changes) as Section[]
+  const document = { ...configuration.document, ...changes }
+  const refusal = refusalOf(configuration, transaction, document, Object.keys(changes) as Section[])
+  if (refusal !== undefined) return err(refusal)
+  accept(draft, transaction, document, Object.keys(changes) as Section[], digest)
+  return ok(undefined)
+}
+
+/** Checked again as the entry is applied: another entry may have come in between. */
+function refusalOf (configuration: ConfigurationState, transaction: PutConfiguration, document: Document, changed: readonly Section[]): Refusal | undefined {
   for (const section of changed) {
+    if (!teamMayWrite(configuration.document, transaction.team, section)) return notRun(RefusalCode.Unauthorized, `team ${transaction.team} may not write ${section}`)
     const current = configuration.sectionNumbers.get(section) ?? 0
     const read = transaction.read.find((entry) => entry.section === section)?.number
-    if (read !== current) return err(notRun(RefusalCode.Conflict, `section ${section} has number ${current}, the writer read ${read ?? 'none'}`))
+    if (read !== current) return notRun(RefusalCode.Conflict, `section ${section} has number ${current}, the writer read ${read ?? 'none'}`)
   }
-  const number = configuration.number + 1
-  const before = configuration.document
+  const problems = danglingReferences(document)
+  return problems.length === 0 ? undefined : notRun(RefusalCode.Conflict, 'another change removed an account that this one names', 0, problems)
+}
+
+function accept (draft: Draft, transaction: PutConfiguration, document: Document, changed: readonly Section[], digest: string): void {
+  const before = draft.configuration
+  const number = before.number + 1
+  const lines = consequenceLines(consequences(draft.before, document), MOST_CONSEQUENCE_LINES)
+  const put: StoredPut = {
+    team: transaction.team,
+    requestIdentifier: transaction.requestIdentifier,
+    digest,
+    number,
+    sections: changed,
+    documentDigest: documentDigest(document),
+    consequences: lines,
+    at: draft.at
+  }
+  const ended = jobsEndedBy(draft.before, document, openJobs(draft))
   draft.configuration = {
     number,
-    document: { ...before, ...changes },
-    sectionNumbers: configuration.sectionNumbers.withMutations((numbers) => { for (const section of changed) numbers.set(section, number) }),
-    puts: configuration.puts.set(transaction.requestIdentifier, { requestIdentifier: transaction.requestIdentifier, digest, number, at: draft.at })
+    document,
+    sectionNumbers: before.sectionNumbers.withMutations((numbers) => { for (const section of changed) numbers.set(section, number) }),
+    puts: keepRecent(before.puts.set(putKey(put.team, put.requestIdentifier), put), draft.at)
   }
   draft.effect({ kind: EffectKind.ConfigurationChanged, sections: changed })
-  draft.note({ kind: transaction.kind, team: transaction.team, number, message: changed.join(', ') })
-  carryOut(draft, before)
-  return ok(undefined)
+  draft.note({
+    kind: transaction.kind,
+    team: put.team,
+    request: put.requestIdentifier,
+    number,
+    sections: changed.map((section) => ({ section, before: before.sectionNumbers.get(section) ?? 0 })),
+    digestBefore: documentDigest(before.document),
+    digestAfter: put.documentDigest,
+    consequences: lines,
+    guarantees: document.guarantees === before.document.guarantees ? undefined : document.guarantees,
+    message: changed.join(', ')
+  })
+  for (const job of ended.removed) cancelJob(draft, job, Reason.RemovedFromDocument)
+  for (const job of ended.closed) cancelJob(draft, job, Reason.AccountRemoved)
+  queueDeclared(draft)
 }
 
-function putDigest ({ team, read, sectionsJson }: PutConfiguration): string {
-  return createHash('sha256').update(JSON.stringify([team, read, sectionsJson])).digest('hex')
+function openJobs (draft: Draft): Job[] {
+  return draft.openJobs().map((identifier) => draft.job(identifier)).filter((job): job is Job => job !== undefined)
 }
 
-/** Brings jobs in line with the document that was just accepted. */
-function carryOut (draft: Draft, before: Document): void {
-  const { document } = draft.configuration
-  const declared = new Set(document.jobs.map((job) => job.identifier))
-  const accounts = new Set(document.clientAccounts.map((account) => account.name))
-  for (const identifier of draft.openJobs()) {
-    const job = draft.job(identifier)
-    if (job === undefined || hasEnded(job)) continue
-    if (job.declared && !declared.has(identifier)) { cancelJob(draft, job, Reason.RemovedFromDocument); continue }
-    if (accounts.has(job.specification.account)) continue
-    const rule = before.clientAccounts.find((account) => account.name === job.specification.account)?.whenRemoved
-    if (rule === RemovalRule.Cancel || job.attempt === undefined) cancelJob(draft, job, Reason.AccountRemoved)
-  }
-  for (const { identifier, ...specification } of document.jobs) {
-    if (draft.job(identifier) === undefined && !draft.isSpent(identifier)) queueJob(draft, identifier, specification, true)
+/** A declared job runs once; that it has ended is remembered for as long as it is written in the document. */
+function queueDeclared (draft: Draft): void {
+  const { jobs } = draft.configuration.document
+  draft.keepSpent(new Set(jobs.map((job) => job.identifier)))
+  for (const { identifier, ...specification } of jobs) {
+    const known = draft.job(identifier)
+    if (known !== undefined && hasEnded(known)) draft.markSpent(identifier)
+    if (known === undefined && !draft.isSpent(identifier)) queueJob(draft, identifier, specification, true)
   }
 }
+
+/** Drops answers that are too old or too many. A resend after that meets a moved number, so it is never applied twice. */
+function keepRecent (puts: ConfigurationState['puts'], now: number): ConfigurationState['puts'] {
+  const expired = puts.valueSeq().filter((put) => put.at + PUT_RETENTION_MILLISECONDS < now).toArray()
+  const kept = puts.withMutations((map) => { for (const put of expired) map.delete(putKey(put.team, put.requestIdentifier)) })
+  if (kept.size <= MOST_STORED_PUTS) return kept
+  const surplus = kept.valueSeq().toArray().sort((one, other) => one.number - other.number).slice(0, kept.size - MOST_STORED_PUTS)
+  return kept.withMutations((map) => { for (const put of surplus) map.delete(putKey(put.team, put.requestIdentifier)) })
+}
+
+/**
+ * The key under which the answer to a change is kept.
+ * @param team - the writer's team
+ * @param requestIdentifier - made by the writer
+ * @returns the key; two teams may use the same identifier
+ */
+export function putKey (team: string, requestIdentifier: string): string {
+  return `${team}/${requestIdentifier}`
+}
+
+/**
+ * Digest by which a resend is told from another change under the same identifier.
+ * @param request - what the writer sent, before defaults are filled in
+ * @returns SHA-256 in hexadecimal; white space and the order of fields do not count
+ */
+export function requestDigest (request: PutRequest): string {
+  const numbers = request.read.map(({ section, number }) => [section, number]).sort()
+  return canonicalDigest([request.team, numbers, JSON.parse(request.sectionsJson)])
+}
+
+/**
+ * Digest of a whole document.
+ * @param document - the document
+ * @returns SHA-256 in hexadecimal; the order of fields does not count
+ */
+export function documentDigest (document: Document): string {
+  return canonicalDigest(document)
+}
+
+/**
+ * Tells whether a team may write a section.
+ * @param document - the document in force
+ * @param team - the team
+ * @param section - the section
+ * @returns true where the document says so; while no team is written, every writer that was let in
+ */
+export function teamMayWrite (document: Document, team: string, section: Section): boolean {
+  if (document.teams.length === 0) return true
+  return document.teams.some((candidate) => candidate.name === team && candidate.sections.includes(section))
+}
+
+/**
+ * The answer that belongs to an accepted change.
+ * @param put - what is kept of it
+ * @returns the same answer each time
+ */
+export function answerOf (put: StoredPut): PutAnswer {
+  const { number, documentDigest, consequences } = put
+  return { number, sections: put.sections.map((section) => ({ section, number })), documentDigest, consequences }
+}
+
+/**
+ * Finds the answer to a change after it was applied.
+ * @param configuration - the state of the configuration
+ * @param team - the writer's team
+ * @param requestIdentifier - made by the writer
+ * @returns the answer, nothing where no such change was accepted or its retention is over
+ */
+export function storedAnswer (configuration: ConfigurationState, team: string, requestIdentifier: string): PutAnswer | undefined {
+  const put = configuration.puts.get(putKey(team, requestIdentifier))
+  return put === undefined ? undefined : answerOf(put)
+}
--- a/src/core/draft.ts
+++ b/src/core/draft.ts
@@ -24,7 +24,8 @@
   private readonly effects: Effect[] = []
   private readonly lines: RecordLine[] = []
 
-  private constructor (state: State, readonly at: number) {
+  private constructor (readonly before: State, readonly at: number) {
+    const state = before
     this.configurationState = state.configuration
     this.workers = state.workers
     this.jobs = state.jobs
@@ -56,6 +57,8 @@
   queuedCount (): number { return this.queued.size }
   isSpent (identifier: string): boolean { return this.spent.has(identifier) }
   markSpent (identifier: string): void { this.spent = this.spent.add(identifier) }
+  /** Forgets ended declared jobs that are no longer written in the document. */
+  keepSpent (written: ReadonlySet<string>): void { this.spent = this.spent.filter((identifier) => written.has(identifier)) }
 
   /** Identifiers of jobs that have not ended, sorted, so that every host visits them in the same order. */
   openJobs (): string[] { return this.open.toArray().sort() }
--- a/src/settings/problems.ts
+++ b/src/core/problems.ts
@@ -1,7 +1,7 @@
 import { Value, ValueErrorType, type ValueError } from '@sinclair/typebox/value'
 import type { Static, TSchema } from '@sinclair/typebox'
 import { err, ok, type Result } from 'neverthrow'
-import type { Problem } from '../core/verdict'
+import type { Problem } from './verdict'
 
 /** Longest shown part of a value, in characters. */
 const SHOWN_CHARACTERS = 120
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto'
+import type { Guarantee, Section } from './document'
 import type { JobState, Reason } from './job'
 import type { RecordHead } from './state'
 import type { TransactionKind } from './transaction'
@@ -17,8 +18,18 @@
   readonly verdict?: Verdict
   readonly workers?: readonly string[]
   readonly team?: string
+  /** Identifier of the writer's request. */
+  readonly request?: string
   /** Number of the document after a change of configuration. */
   readonly number?: number
+  /** The changed sections with their numbers before. */
+  readonly sections?: ReadonlyArray<{ readonly section: Section, readonly before: number }>
+  readonly digestBefore?: string
+  readonly digestAfter?: string
+  /** What a change of configuration did, one line each. */
+  readonly consequences?: readonly string[]
+  /** All guarantees in force after a change of that section. */
+  readonly guarantees?: readonly Guarantee[]
   readonly message?: string
 }
 
--- a/src/core/snapshot.ts
+++ b/src/core/snapshot.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto'
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
+import { putKey } from './configuration'
 import type { Section } from './document'
 import type { Job } from './job'
 import type { AccountUsage, State, StoredPut, WorkerUsage } from './state'
@@ -65,7 +66,7 @@
       number: stored.number,
       sectionNumbers: ImmutableMap(stored.sectionNumbers as Array<[Section, number]>),
       document: stored.document,
-      puts: ImmutableMap(stored.puts.map((put) => [put.requestIdentifier, put]))
+      puts: ImmutableMap(stored.puts.map((put) => [putKey(put.team, put.requestIdentifier), put]))
     },
     workers: ImmutableMap(stored.workers.map((worker) => [worker.name, worker])),
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -5,11 +5,17 @@
 
 /** The first answer to a configuration request, kept so that a resend gets it again. */
 export interface StoredPut {
+  readonly team: string
   readonly requestIdentifier: string
-  /** SHA-256 of team, numbers and sections. */
+  /** SHA-256 of team, numbers and sections as they were sent. */
   readonly digest: string
   /** The number of the whole document after the put. */
   readonly number: number
+  readonly sections: readonly Section[]
+  /** SHA-256 of the whole document after the put. */
+  readonly documentDigest: string
+  /** What the change did, one line each. */
+  readonly consequences: readonly string[]
   readonly at: number
 }
 
@@ -19,6 +25,7 @@
   readonly number: number
   readonly sectionNumbers: ImmutableMap<Section, number>
   readonly document: Document
+  /** Recent answers, by team and request identifier. */
   readonly puts: ImmutableMap<string, StoredPut>
 }
 
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -52,6 +52,8 @@
   readonly read: readonly SectionNumber[]
   /** The sections to replace, as one JSON text, checked before it was proposed and again when applied. */
   readonly sectionsJson: string
+  /** Digest of the request as it was sent, before defaults were filled in; made from this entry where it is absent. */
+  readonly requestDigest?: string
 }
 
 /** An agent told of its worker. */
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -3,4 +3,4 @@
   type AgentSettings, type ControlSettings, type EntrySettings, type Settings, type TlsSettings
 } from './schema'
 export { checkSettings, loadSettings, parseAddress, problemLines, type Address } from './load'
-export { checkAgainst, findProblems, showValue } from './problems'
+export { checkAgainst, findProblems, showValue } from '../core/problems'
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -2,7 +2,7 @@
 import { isIP } from 'node:net'
 import { err, ok, type Result } from 'neverthrow'
 import type { Problem } from '../core/verdict'
-import { checkAgainst, showValue } from './problems'
+import { checkAgainst, showValue } from '../core/problems'
 import { Role, settingsSchema, type Settings } from './schema'
 
 const HIGHEST_PORT = 65_535
