Serve callers and operators over HTTP, through the control leader

An entry asks any control host and follows the leader it is named. Each request is judged by its head first: stopping, confirmed copy, token, length, open requests of the account. A submission that breaks off is sent again under its identifier, or answered with a verdict that says what is known.

--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -14,6 +14,8 @@
 export enum RefusalCode {
   BadRequest = 'bad-request',
   Unauthorized = 'unauthorized',
+  /** The token is known, but it does not give this right. */
+  Forbidden = 'forbidden',
   NotFound = 'not-found',
   Conflict = 'conflict',
   TooLarge = 'too-large',
--- /dev/null
+++ b/src/entry/channels.ts
@@ -0,0 +1,64 @@
+import { Client, credentials, type ChannelCredentials, type ChannelOptions } from '@grpc/grpc-js'
+import type { TlsFiles } from '../settings/index'
+
+const KEEPALIVE_MILLISECONDS = 2_000
+const MOST_MESSAGE_BYTES = 33_554_432
+
+/** A silent partition is noticed by keepalive; nothing is retried or balanced by the library. */
+const channelOptions: ChannelOptions = {
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.keepalive_time_ms': KEEPALIVE_MILLISECONDS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_MILLISECONDS,
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.min_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+  'grpc.max_receive_message_length': MOST_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MOST_MESSAGE_BYTES
+}
+
+function channelCredentials (tls: TlsFiles | undefined): ChannelCredentials {
+  return tls === undefined
+    ? credentials.createInsecure()
+    : credentials.createSsl(tls.authority, tls.key, tls.certificate)
+}
+
+/** One gRPC connection to each control host that was asked. */
+export class Channels {
+  private readonly clients = new Map<string, Client>()
+  private readonly credentials: ChannelCredentials
+
+  private constructor (tls: TlsFiles | undefined) {
+    this.credentials = channelCredentials(tls)
+  }
+
+  /**
+   * Makes an empty set of connections.
+   * @param tls - certificate files, undefined for plain connections
+   * @returns the set
+   */
+  static create (tls?: TlsFiles): Channels {
+    return new Channels(tls)
+  }
+
+  /**
+   * The connection to a control host.
+   * @param address - IP number and port
+   * @returns the client, connected on first use
+   */
+  to (address: string): Client {
+    const known = this.clients.get(address)
+    if (known !== undefined) return known
+    const client = new Client(address, this.credentials, channelOptions)
+    this.clients.set(address, client)
+    return client
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    for (const client of this.clients.values()) client.close()
+    this.clients.clear()
+  }
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,1 @@
+export { EntryHost, type EntryOptions } from './entry-host'
--- /dev/null
+++ b/src/entry/job-controller.ts
@@ -0,0 +1,182 @@
+import { Controller, Delete, Get, Inject, Param, Post, Query, Req, Res } from '@nestjs/common'
+import { Type } from '@sinclair/typebox'
+import type { FastifyReply, FastifyRequest } from 'fastify'
+import { JobState } from '../core/job'
+import { notRun, RefusalCode } from '../core/verdict'
+import { checkAgainst } from '../settings/index'
+import type { JobReport } from '../wire/index'
+import { accountOf, callerOf } from './admission'
+import { ConfigurationCopy } from './configuration-copy'
+import { readSubmission } from './job-request'
+import { JobService } from './job-service'
+import { isEnded, isWhole, viewOf, type JobView } from './job-view'
+import { OpenRequests } from './open-requests'
+import { RefusalError, sendFailedJob, sendRefusal } from './refusal-answer'
+
+const MOST_CANCELLED = 10_000
+const ASK_AGAIN_SECONDS = 1
+
+const cancelSchema = Type.Object({
+  identifiers: Type.Array(Type.String({ minLength: 1, maxLength: 128 }), { minItems: 1, maxItems: MOST_CANCELLED })
+}, { additionalProperties: false })
+
+function headerOf (request: FastifyRequest, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+/** The whole answer of a finished job, or why there is none. */
+function sendEnd (reply: FastifyReply, report: JobReport): FastifyReply {
+  const { answer, identifier, attempt } = report
+  if (report.state !== JobState.Finished || answer === undefined || !isWhole(report)) return sendFailedJob(reply, report)
+  return reply.code(200)
+    .header('content-type', answer.contentType || 'application/octet-stream')
+    .header('repr-digest', `sha-256=:${Buffer.from(answer.digest).toString('base64')}:`)
+    .header('bramleyflow-job', identifier)
+    .header('bramleyflow-attempt', String(attempt))
+    .send(Buffer.from(answer.body))
+}
+
+/** Says that the job is accepted, and where its answer can be fetched from any entry. */
+function sendAccepted (reply: FastifyReply, report: JobReport): FastifyReply {
+  return reply.code(202)
+    .header('location', `/jobs/${encodeURIComponent(report.identifier)}/answer`)
+    .header('retry-after', String(ASK_AGAIN_SECONDS))
+    .send(viewOf(report))
+}
+
+function sendReport (reply: FastifyReply, report: JobReport): FastifyReply {
+  return isEnded(report) ? sendEnd(reply, report) : sendAccepted(reply, report)
+}
+
+/** Requests of callers on jobs. */
+@Controller('jobs')
+export class JobController {
+  /**
+   * Made by nestjs.
+   * @param jobs - carries requests to control
+   * @param copy - the document in force
+   * @param open - the open requests
+   */
+  constructor (
+    @Inject(JobService) private readonly jobs: JobService,
+    @Inject(ConfigurationCopy) private readonly copy: ConfigurationCopy,
+    @Inject(OpenRequests) private readonly open: OpenRequests
+  ) {}
+
+  /**
+   * Submits a job.
+   * @param request - the HTTP request
+   * @param wait - "true" holds the request until the job ends
+   * @param reply - the HTTP reply
+   */
+  @Post()
+  async submit (@Req() request: FastifyRequest, @Query('wait') wait: string | undefined, @Res() reply: FastifyReply): Promise<void> {
+    const { account } = callerOf(request)
+    const idempotencyKey = headerOf(request, 'idempotency-key')
+    const job = readSubmission(request.body, { account, idempotencyKey, limits: this.copy.document.limits, now: Date.now() })
+    if (job.isErr()) throw new RefusalError(job.error)
+    const { identifier } = job.value
+    const result = await this.jobs.submit(job.value, wait === 'true', this.open.signalOf(reply))
+    result.match((report) => wait === 'true' ? sendReport(reply, report) : sendAccepted(reply, report), (refusal) => sendRefusal(reply, refusal, { identifier }))
+  }
+
+  /**
+   * Lists jobs.
+   * @param request - the HTTP request
+   * @param state - only in this state
+   * @param limit - most jobs
+   * @returns the views
+   */
+  @Get()
+  async list (@Req() request: FastifyRequest, @Query('state') state = '', @Query('limit') limit = '0'): Promise<{ jobs: JobView[] }> {
+    return { jobs: await this.jobs.list(accountOf(request), state, Math.max(0, Math.trunc(Number(limit))) || 0) }
+  }
+
+  /**
+   * Cancels many jobs at once.
+   * @param request - the HTTP request
+   * @param reply - the HTTP reply
+   */
+  @Post('cancel')
+  async cancelMany (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const body = checkAgainst(cancelSchema, request.body)
+    if (body.isErr()) throw new RefusalError(notRun(RefusalCode.BadRequest, 'the request does not fit the schema', 0, body.error))
+    reply.code(200).send({ jobs: await this.jobs.cancel(accountOf(request), body.value.identifiers) })
+  }
+
+  /**
+   * Shows a job.
+   * @param request - the HTTP request
+   * @param identifier - names the job
+   * @returns its view
+   */
+  @Get(':identifier')
+  async show (@Req() request: FastifyRequest, @Param('identifier') identifier: string): Promise<JobView> {
+    return viewOf(await this.jobs.show({ identifier, account: accountOf(request) }))
+  }
+
+  /**
+   * Cancels a job.
+   * @param request - the HTTP request
+   * @param identifier - names the job
+   * @returns its view
+   */
+  @Delete(':identifier')
+  async cancel (@Req() request: FastifyRequest, @Param('identifier') identifier: string): Promise<JobView> {
+    const [job] = await this.jobs.cancel(accountOf(request), [identifier])
+    if (job === undefined) throw new RefusalError(notRun(RefusalCode.NotFound, `no job ${identifier}`))
+    return job
+  }
+
+  /**
+   * Fetches the whole answer.
+   * @param request - the HTTP request
+   * @param identifier - names the job
+   * @param wait - "true" holds the request until the job ends
+   * @param reply - the HTTP reply
+   */
+  @Get(':identifier/answer')
+  async answer (
+    @Req() request: FastifyRequest, @Param('identifier') identifier: string, @Query('wait') wait: string | undefined, @Res() reply: FastifyReply
+  ): Promise<void> {
+    const query = { identifier, account: accountOf(request) }
+    if (wait !== 'true') {
+      const report = await this.jobs.show(query)
+      if (!isEnded(report)) {
+        sendAccepted(reply, report)
+        return
+      }
+    }
+    const result = await this.jobs.follow(query, { signal: this.open.signalOf(reply) })
+    result.match((report) => sendReport(reply, report), (refusal) => sendRefusal(reply, refusal, { identifier }))
+  }
+
+  /**
+   * Streams a job's moves as server-sent events until its end.
+   * @param request - the HTTP request
+   * @param identifier - names the job
+   * @param reply - the HTTP reply
+   */
+  @Get(':identifier/progress')
+  async progress (@Req() request: FastifyRequest, @Param('identifier') identifier: string, @Res() reply: FastifyReply): Promise<void> {
+    const query = { identifier, account: accountOf(request) }
+    const onReport = (report: JobReport): void => sendEvent(reply, 'state', viewOf(report))
+    const result = await this.jobs.follow(query, { signal: this.open.signalOf(reply), onReport })
+    if (result.isErr() && !reply.raw.headersSent) {
+      sendRefusal(reply, result.error, { identifier })
+      return
+    }
+    if (result.isErr()) sendEvent(reply, 'error', { ...result.error, identifier })
+    else if (!isEnded(result.value)) sendEvent(reply, 'handed-over', viewOf(result.value))
+    reply.raw.end()
+  }
+}
+
+function sendEvent (reply: FastifyReply, event: string, data: object): void {
+  if (!reply.raw.headersSent) {
+    reply.hijack()
+    reply.raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' })
+  }
+  reply.raw.write(`event: ${event}\ndata: ${JSON.stringify(data)}\n\n`)
+}
--- /dev/null
+++ b/src/entry/job-view.ts
@@ -0,0 +1,55 @@
+import { createHash } from 'node:crypto'
+import { JobState } from '../core/job'
+import type { Verdict } from '../core/verdict'
+import type { JobReport } from '../wire/index'
+import { readVerdict } from './refusal-answer'
+
+const endStates = new Set<string>([JobState.Finished, JobState.Failed, JobState.Cancelled])
+
+/** A job as callers and operators see it. Times are milliseconds since the epoch, 0 for not yet. */
+export interface JobView {
+  readonly identifier: string
+  readonly account: string
+  readonly state: string
+  readonly attempt: number
+  readonly reason: string
+  /** Present once the job has ended. */
+  readonly verdict?: Verdict
+  readonly message: string
+  readonly acceptedAt: number
+  readonly endedAt: number
+  readonly workers: readonly string[]
+  readonly ended: boolean
+}
+
+/**
+ * Tells whether a report is the last one on its job.
+ * @param report - a report of control
+ * @returns true in an end state
+ */
+export function isEnded (report: JobReport): boolean {
+  return endStates.has(report.state)
+}
+
+/**
+ * Puts a report into the form that is shown.
+ * @param report - a report of control
+ * @returns the view, without the answer's body
+ */
+export function viewOf (report: JobReport): JobView {
+  const { identifier, account, state, attempt, reason, message, acceptedAt, endedAt, workers } = report
+  const ended = isEnded(report)
+  const verdict = ended ? readVerdict(report.verdict) : undefined
+  return { identifier, account, state, attempt, reason, verdict, message, acceptedAt, endedAt, workers, ended }
+}
+
+/**
+ * Checks that an answer is whole.
+ * @param report - the last report on a finished job
+ * @returns false where the body does not have the digest that was stored with it
+ */
+export function isWhole (report: JobReport): boolean {
+  const { answer } = report
+  if (answer === undefined) return false
+  return createHash('sha256').update(answer.body).digest().equals(answer.digest)
+}
--- /dev/null
+++ b/src/entry/metrics.ts
@@ -0,0 +1,79 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { Principal } from './access'
+import { PrincipalKind } from './access'
+
+const SECONDS_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60, 600]
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** What a gauge reads when it is collected. */
+export interface EntryGauges {
+  readonly openRequests: () => number
+  readonly configurationNumber: () => number
+  readonly configurationConfirmed: () => boolean
+}
+
+/** The metrics of an entry, in the text form of Prometheus. */
+export class EntryMetrics {
+  private readonly registry = new Registry()
+  private readonly answers = new Counter({
+    name: 'bramleyflow_entry_answers_total', help: 'Answers by account and status', labelNames: ['account', 'status'], registers: [this.registry]
+  })
+
+  private readonly seconds = new Histogram({
+    name: 'bramleyflow_entry_request_seconds',
+    help: 'Time until the answer was sent',
+    labelNames: ['method'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry]
+  })
+
+  private readonly resends = new Counter({
+    name: 'bramleyflow_entry_resends_total', help: 'Requests sent again to control after a break', registers: [this.registry]
+  })
+
+  private constructor (gauges: EntryGauges) {
+    collectDefaultMetrics({ register: this.registry })
+    this.gauge('bramleyflow_entry_open_requests', 'Requests open now', gauges.openRequests)
+    this.gauge('bramleyflow_entry_configuration_number', 'Number of the document in force', gauges.configurationNumber)
+    this.gauge('bramleyflow_entry_configuration_confirmed', '1 while a leader confirms the copy in time', () => Number(gauges.configurationConfirmed()))
+  }
+
+  /**
+   * Makes the metrics.
+   * @param gauges - what is read at each collection
+   * @returns the metrics
+   */
+  static create (gauges: EntryGauges): EntryMetrics {
+    return new EntryMetrics(gauges)
+  }
+
+  /**
+   * Counts an answer.
+   * @param principal - who asked, undefined where not known
+   * @param method - the HTTP method
+   * @param status - the HTTP status
+   * @param milliseconds - time until it was sent
+   */
+  answered (principal: Principal | undefined, method: string, status: number, milliseconds: number): void {
+    const account = principal?.kind === PrincipalKind.Caller ? principal.account : ''
+    this.answers.inc({ account, status })
+    this.seconds.observe({ method }, milliseconds / MILLISECONDS_PER_SECOND)
+  }
+
+  /** Counts a request that was sent again to control. */
+  resent (): void {
+    this.resends.inc()
+  }
+
+  /**
+   * Collects all metrics.
+   * @returns the text and its content type
+   */
+  async collect (): Promise<{ readonly contentType: string, readonly text: string }> {
+    return { contentType: this.registry.contentType, text: await this.registry.metrics() }
+  }
+
+  private gauge (name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
+  }
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -4,3 +4,4 @@
 } from './schema'
 export { checkSettings, loadSettings, parseAddress, problemLines, type Address } from './load'
 export { checkAgainst, findProblems, showValue } from '../core/problems'
+export { readTls, type TlsFiles } from './tls'
