Lay the leader: speculative state over the log, agents' and entries' streams, calls, a demo

Cause: the core, the log and the agent had nothing between them. Change: Machine keeps the committed state and, while leading, the state with all proposed entries applied, so that decisions do not wait for the disk; effects other than reservations wait for the commit. Figures: three tests of the machine (one a property of 200 schedules).

--- /dev/null
+++ b/demo/cluster.ts
@@ -0,0 +1,145 @@
+import { createHash } from 'node:crypto'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { PlatformStandIn, TargetStandIn } from '../stand-ins/index'
+
+/** One worker of the demo: its stand-ins and its agent's process. */
+export interface DemoWorker {
+  readonly name: string
+  readonly platform: PlatformStandIn
+  readonly target: TargetStandIn
+  agent: ChildProcess
+}
+
+/** A process of the system with the address it serves. */
+export interface DemoProcess {
+  readonly name: string
+  readonly address: string
+  child: ChildProcess
+}
+
+const BINARY = 'dist/bramleyflow'
+export const WORKERS = 10
+const WORKERS_PER_RACK = 3
+const DATA_CENTRES = ['phu-hoi', 'vy-da', 'thuan-hoa']
+export const OPERATOR_TOKEN = 'demo-operator'
+
+/** @returns the demo's token of a client account. */
+export function accountToken (account: string): string {
+  return `demo-${account}`
+}
+
+/** @returns the digest of a token as the document holds it. */
+export function tokenDigest (token: string): string {
+  return createHash('sha256').update(token).digest('hex')
+}
+
+/** @returns ports that were free a moment ago. */
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => { resolve(server) })
+  })))
+  const ports = servers.map((server) => (server.address() as { port: number }).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  return ports
+}
+
+/** The processes and stand-ins of the demo on the loopback address. */
+export class Cluster {
+  readonly controls: DemoProcess[] = []
+  readonly entries: DemoProcess[] = []
+  readonly workers: DemoWorker[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'bramleyflow-demo-'))
+
+  private constructor () {}
+
+  /** @returns a running cluster of 3 control processes, 2 entries and 10 agents with stand-ins. */
+  static async create (): Promise<Cluster> {
+    const cluster = new Cluster()
+    const addresses = (await freePorts(5)).map((port) => `127.0.0.1:${port}`)
+    const voters = addresses.slice(0, 3)
+    voters.forEach((address, position) => {
+      const folder = join(cluster.folder, `data-${position}`)
+      cluster.controls.push(cluster.launch(`control-${position}`, address, { roles: ['control'], control: { address, folder, voters } }, position))
+    })
+    addresses.slice(3).forEach((address, position) => {
+      const entry = { address, bootstrapTokenDigest: tokenDigest(OPERATOR_TOKEN) }
+      cluster.entries.push(cluster.launch(`entry-${position}`, address, { roles: ['entry'], controlHosts: voters, entry }, position))
+    })
+    for (let position = 0; position < WORKERS; position++) await cluster.addWorker(position, voters)
+    return cluster
+  }
+
+  /** Ends a process at once, as a failing host does. */
+  end (process: { child?: ChildProcess, agent?: ChildProcess }): void {
+    (process.child ?? process.agent)?.kill('SIGKILL')
+  }
+
+  /** A whole worker host fails: agent, platform and target. */
+  async loseWorker (worker: DemoWorker): Promise<void> {
+    worker.agent.kill('SIGKILL')
+    await Promise.all([worker.platform.close(), worker.target.close()])
+  }
+
+  /** Stops everything gracefully and removes the data. */
+  async stop (): Promise<void> {
+    const children = [...this.entries.map((one) => one.child), ...this.workers.map((one) => one.agent), ...this.controls.map((one) => one.child)]
+    await Promise.all(children.map((child) => stopChild(child)))
+    await Promise.all(this.workers.flatMap((worker) => [worker.platform.close(), worker.target.close()]))
+    if (process.env.BRAMLEYFLOW_DEMO_KEEP === undefined) rmSync(this.folder, { recursive: true, force: true })
+    else console.log(`kept ${this.folder}`)
+  }
+
+  private async addWorker (position: number, controlHosts: string[]): Promise<void> {
+    const [platform, target] = await Promise.all([PlatformStandIn.create(0, 8), TargetStandIn.create(0)])
+    const name = `worker-${position}`
+    const rackNumber = Math.floor(position / WORKERS_PER_RACK)
+    const agent = {
+      worker: name,
+      rack: `rack-${rackNumber}`,
+      accelerators: 8,
+      slots: 8,
+      processors: 64,
+      memoryMegabytes: 131_072,
+      platform: platform.url,
+      target: target.url,
+      connections: 64,
+      stopDeadlineSeconds: 2
+    }
+    const { child } = this.launch(name, '', { roles: ['agent'], controlHosts, agent }, rackNumber)
+    this.workers.push({ name, platform, target, agent: child })
+  }
+
+  private launch (name: string, address: string, settings: object, position: number): DemoProcess {
+    const file = join(this.folder, `${name}.json`)
+    mkdirSync(this.folder, { recursive: true })
+    const dataCentre = DATA_CENTRES[position % DATA_CENTRES.length]
+    writeFileSync(file, JSON.stringify({ host: name, region: 'hue', dataCentre, ...settings }, undefined, 2))
+    const child = spawn(BINARY, ['serve', '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const log = createWriteStream(join(this.folder, `${name}.log`))
+    child.stdout?.pipe(log)
+    child.stderr?.pipe(log)
+    return { name, address, child }
+  }
+}
+
+async function stopChild (child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return
+  await new Promise<void>((resolve) => {
+    const force = setTimeout(() => child.kill('SIGKILL'), 8_000)
+    child.once('exit', () => { clearTimeout(force); resolve() })
+    child.kill('SIGTERM')
+  })
+}
+
+/** The example document, with the demo's tokens in place of the example's. */
+export function demoDocument (): { readonly clientAccounts: ReadonlyArray<{ readonly name: string }>, readonly [section: string]: unknown } {
+  const document = JSON.parse(readFileSync('examples/song-huong.json', 'utf8')) as Record<string, any>
+  const clientAccounts = document.clientAccounts.map((account: { name: string }) => ({ ...account, queuedJobs: 5_000, tokens: [tokenDigest(accountToken(account.name))] }))
+  const teams = [{ name: 'operators', sections: ['clientAccounts', 'guarantees', 'jobs', 'limits', 'placement', 'maintenance', 'teams'], tokens: [tokenDigest(OPERATOR_TOKEN)] }]
+  return { ...document, clientAccounts, teams }
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,7 @@
 
 export default [
   ...neostandard({ ts: true, ignores: ['node_modules', 'dist', 'src/wire/generated', 'schemas'] }),
+  { files: ['**/*.ts'], rules: { 'no-void': ['error', { allowAsStatement: true }] } },
   {
     files: ['src/**/*.ts', 'stand-ins/**/*.ts'],
     plugins: { jsdoc, tsdoc },
--- /dev/null
+++ b/src/control/convert.ts
@@ -0,0 +1,144 @@
+import { createHash } from 'node:crypto'
+import {
+  Level, Urgency, Verdict, type Content, type Job, type JobSpecification, type Refusal, type Shape
+} from '../core/index'
+import * as wire from '../wire/index'
+
+const verdictToWire: { readonly [verdict in Verdict]: wire.Verdict } = {
+  [Verdict.NotRun]: wire.Verdict.NOT_RUN,
+  [Verdict.MayHaveRun]: wire.Verdict.MAY_HAVE_RUN,
+  [Verdict.Ran]: wire.Verdict.RAN
+}
+
+const verdictFromWire: { readonly [verdict in wire.Verdict]: Verdict } = {
+  [wire.Verdict.VERDICT_UNSPECIFIED]: Verdict.MayHaveRun,
+  [wire.Verdict.NOT_RUN]: Verdict.NotRun,
+  [wire.Verdict.MAY_HAVE_RUN]: Verdict.MayHaveRun,
+  [wire.Verdict.RAN]: Verdict.Ran
+}
+
+/**
+ * Converts a verdict for the wire.
+ * @param verdict - the core's
+ * @returns the wire's
+ */
+export function toWireVerdict (verdict: Verdict): wire.Verdict {
+  return verdictToWire[verdict]
+}
+
+/**
+ * Converts a verdict from the wire; an unknown one counts as may-have-run.
+ * @param verdict - the wire's
+ * @returns the core's
+ */
+export function fromWireVerdict (verdict: wire.Verdict): Verdict {
+  return verdictFromWire[verdict] ?? Verdict.MayHaveRun
+}
+
+/**
+ * Converts a refusal for the wire.
+ * @param refusal - the core's
+ * @param leader - address of the leader, where another host was asked
+ * @returns the wire's
+ */
+export function toWireRefusal (refusal: Refusal, leader = ''): wire.Refusal {
+  return {
+    code: refusal.code,
+    message: refusal.message,
+    verdict: toWireVerdict(refusal.verdict),
+    retryCanHelp: refusal.retryCanHelp,
+    retryAfterMilliseconds: refusal.retryAfter,
+    leader,
+    problems: [...refusal.problems ?? []]
+  }
+}
+
+/**
+ * Converts a body for the wire.
+ * @param content - the core's
+ * @returns the wire's
+ */
+export function toWireContent (content: Content): wire.Content {
+  return { contentType: content.contentType, body: Buffer.from(content.base64, 'base64'), digest: Buffer.from(content.digest, 'hex') }
+}
+
+/**
+ * Converts a body from the wire.
+ * @param content - the wire's
+ * @returns the core's, or nothing where the digest does not fit the body
+ */
+export function fromWireContent (content: wire.Content): Content | undefined {
+  const digest = createHash('sha256').update(content.body).digest('hex')
+  if (Buffer.from(content.digest).toString('hex') !== digest) return undefined
+  return { contentType: content.contentType, base64: Buffer.from(content.body).toString('base64'), digest }
+}
+
+/**
+ * Converts a job request from the wire.
+ * @param job - the wire's
+ * @returns the core's specification
+ */
+export function fromWireJob (job: wire.JobRequest): JobSpecification {
+  return {
+    account: job.account,
+    kind: job.kind,
+    shape: fromWireShape(job.shape),
+    idempotent: job.idempotent,
+    checkpointable: job.checkpointable,
+    urgency: member(Urgency, job.urgency) ?? Urgency.Normal,
+    deadline: job.deadline,
+    declaredSeconds: job.declaredSeconds,
+    payload: {
+      contentType: job.payload?.contentType ?? 'application/octet-stream',
+      base64: Buffer.from(job.payload?.body ?? new Uint8Array()).toString('base64')
+    }
+  }
+}
+
+function fromWireShape (shape: wire.Shape | undefined): Shape {
+  return {
+    workers: shape?.workers ?? 1,
+    accelerators: shape?.accelerators ?? 0,
+    slots: shape?.slots ?? 1,
+    processors: shape?.processors ?? 1,
+    memoryMegabytes: shape?.memoryMegabytes ?? 0,
+    within: member(Level, shape?.within ?? '') ?? Level.DataCentre
+  }
+}
+
+function member<Value extends string> (values: { readonly [name: string]: Value }, text: string): Value | undefined {
+  return Object.values(values).find((value) => value === text)
+}
+
+/**
+ * What a caller or operator is told of a job.
+ * @param job - the job
+ * @param withAnswer - false leaves the body out
+ * @returns the report
+ */
+export function toReport (job: Job, withAnswer = true): wire.JobReport {
+  return {
+    refusal: undefined,
+    identifier: job.identifier,
+    account: job.specification.account,
+    state: job.state,
+    attempt: job.attempts,
+    reason: job.end?.reason ?? job.attempt?.stopReason ?? job.attempt?.reason ?? '',
+    verdict: job.end === undefined ? wire.Verdict.VERDICT_UNSPECIFIED : toWireVerdict(job.end.verdict),
+    answer: withAnswer && job.end?.answer !== undefined ? toWireContent(job.end.answer) : undefined,
+    acceptedAt: job.acceptedAt,
+    endedAt: job.end?.at ?? 0,
+    workers: job.attempt?.members.map((one) => one.worker) ?? [],
+    message: job.end?.message ?? ''
+  }
+}
+
+/**
+ * A report that says nothing but a refusal.
+ * @param refusal - the refusal
+ * @param identifier - the job asked for
+ * @returns the report
+ */
+export function refusalReport (refusal: wire.Refusal, identifier: string): wire.JobReport {
+  return wire.JobReport.fromPartial({ refusal, identifier, verdict: refusal.verdict })
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,1 @@
+export { ControlHost, type ControlOptions } from './host'
--- /dev/null
+++ b/test/machine.test.ts
@@ -0,0 +1,118 @@
+import fc from 'fast-check'
+import { err, ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { Machine, type EntryName } from '../src/control/machine'
+import { decide, EffectKind, stateDigest, TransactionKind, Verdict, type Effect, type Transaction } from '../src/core/index'
+
+/** A log that commits only when told to, and can lose what it has not committed. */
+class FakeLog {
+  readonly entries: Array<EntryName & { readonly data: Uint8Array }> = []
+  readonly proposed: Effect[] = []
+  readonly carriedOut: Effect[] = []
+  readonly turns: Array<() => void> = []
+  committed = 0
+  leading = true
+  readonly machine = Machine.create({
+    propose: (data) => {
+      if (!this.leading) return err('not-leader')
+      const name = { index: this.entries.length + 1, term: 1 }
+      this.entries.push({ ...name, data })
+      return ok(name)
+    },
+    onProposed: (effects) => { this.proposed.push(...effects) },
+    onCommitted: (applied, leading) => { if (leading) this.carriedOut.push(...applied.flatMap((one) => one.effects)) },
+    decide: (head) => decide(head, { now: 10 }),
+    soon: (run) => { this.turns.push(run) },
+    onRefusedDecision: (transaction) => { throw new Error(`refused ${transaction.kind}`) }
+  })
+
+  turn (): void {
+    for (const run of this.turns.splice(0)) run()
+  }
+
+  commit (count = Infinity): void {
+    for (const entry of this.entries.slice(this.committed, this.committed + count)) {
+      this.committed++
+      this.machine.commit(entry, entry.data)
+    }
+  }
+}
+
+const accounts = JSON.stringify({ clientAccounts: [{ name: 'one', share: 1, queuedJobs: 100, runningAccelerators: 100, tokens: [], whenRemoved: 'finish' }] })
+const put: Transaction = { kind: TransactionKind.PutConfiguration, at: 1, team: 'all', requestIdentifier: 'first', read: [{ section: 'clientAccounts', number: 0 }], sectionsJson: accounts }
+
+function announce (name: string): Transaction {
+  const worker = { name, region: 'hue', dataCentre: 'a', rack: 'r', accelerators: 8, slots: 8, processors: 8, memoryMegabytes: 8_192 }
+  return { kind: TransactionKind.AnnounceWorker, at: 1, worker, incarnation: `${name}-1`, leaving: false, running: [] }
+}
+
+function accept (identifier: string): Transaction {
+  const shape = { workers: 1, accelerators: 1, slots: 1, processors: 1, memoryMegabytes: 64, within: 'worker' as never }
+  const specification = { account: 'one', kind: 'proof', shape, idempotent: false, checkpointable: false, urgency: 'normal' as never, deadline: 0, declaredSeconds: 1, payload: { contentType: 'text/plain', base64: '' } }
+  return { kind: TransactionKind.AcceptJob, at: 2, identifier, specification }
+}
+
+test('a reservation goes out at once, a start and an acceptance only after the commit', async () => {
+  const log = new FakeLog()
+  log.machine.lead(true)
+  const told: string[] = []
+  for (const transaction of [put, announce('w'), accept('job')]) void log.machine.submit(transaction).then(() => { told.push(transaction.kind) })
+  log.turn()
+  await Promise.resolve()
+  expect({ told, proposed: log.proposed.map((effect) => effect.kind).filter((kind) => kind !== EffectKind.JobMoved) }).toMatchSnapshot()
+  void log.machine.submit({ kind: TransactionKind.StartJob, at: 11, job: 'job', attempt: 1 })
+  log.turn()
+  expect(log.carriedOut).toEqual([])
+  log.commit()
+  await Promise.resolve()
+  await Promise.resolve()
+  expect(log.carriedOut.some((effect) => effect.kind === EffectKind.Start)).toBe(true)
+  expect(told).toEqual([put.kind, TransactionKind.AnnounceWorker, TransactionKind.AcceptJob])
+})
+
+test('what was proposed and not committed when leadership is lost is said to be unknown, the rest not run', async () => {
+  const log = new FakeLog()
+  log.machine.lead(true)
+  const proposed = log.machine.submit(put)
+  log.turn()
+  const waiting = log.machine.submit(announce('w'))
+  log.leading = false
+  log.machine.lead(false)
+  expect((await proposed)._unsafeUnwrapErr().verdict).toBe(Verdict.MayHaveRun)
+  expect((await waiting)._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
+  expect((await log.machine.submit(announce('w')))._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
+  expect(log.machine.head).toBe(log.machine.committed)
+})
+
+test('a follower that replays the entries has the state of the leader, wherever leadership was lost', () => {
+  const steps = fc.array(fc.oneof(
+    fc.integer({ min: 0, max: 5 }).map((number) => ({ kind: 'accept' as const, number })),
+    fc.integer({ min: 0, max: 3 }).map((number) => ({ kind: 'announce' as const, number })),
+    fc.constant({ kind: 'commit' as const, number: 1 }),
+    fc.constant({ kind: 'turn' as const, number: 0 }),
+    fc.constant({ kind: 'again' as const, number: 0 })
+  ), { maxLength: 60 })
+  fc.assert(fc.property(steps, (list) => {
+    const log = new FakeLog()
+    log.machine.lead(true)
+    void log.machine.submit(put)
+    const actions = {
+      accept: (number: number) => { void log.machine.submit(accept(`job-${number}`)) },
+      announce: (number: number) => { void log.machine.submit(announce(`w-${number}`)) },
+      commit: (number: number) => { log.commit(number) },
+      turn: () => { log.turn() },
+      again: () => {
+        log.machine.lead(false)
+        log.commit()
+        log.machine.lead(true)
+      }
+    }
+    for (const { kind, number } of list) actions[kind](number)
+    log.turn()
+    log.commit()
+    const follower = new FakeLog()
+    for (const entry of log.entries) follower.machine.commit(entry, entry.data)
+    expect(stateDigest(follower.machine.committed)).toBe(stateDigest(log.machine.committed))
+    expect(stateDigest(log.machine.head)).toBe(stateDigest(log.machine.committed))
+  }), { seed: 20261204, numRuns: 200 })
+})
