Decide with homes, reclaim, fair share, backfill and blame

Cause: decide was first come first served with first fit; guarantees had no place. Change: homes are placed by decide and stored by a set-homes entry; apply checks that homes never overlap and that only work that can be stopped and run again lies on them. decide gives homes, makes room for urgent work, serves the oldest gang, backfills, shares by weight, quarantines and probes workers, learns run times and memory.

--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -7,6 +7,7 @@
 import type { State } from './state'
 import { TransactionKind, type Transaction } from './transaction'
 import type { Refusal } from './verdict'
+import { setHomes } from './guarantees'
 import { announceWorker, leaveWorker, loseWorker } from './workers'
 
 /** What one entry of the log did. */
@@ -36,7 +37,8 @@
   [TransactionKind.CancelJobs]: cancelJobs,
   [TransactionKind.EndJobs]: endJobs,
   [TransactionKind.Refuse]: refuse,
-  [TransactionKind.Expire]: expire
+  [TransactionKind.Expire]: expire,
+  [TransactionKind.SetHomes]: setHomes
 }
 
 /**
--- a/src/core/draft.ts
+++ b/src/core/draft.ts
@@ -1,11 +1,14 @@
 import { Map as ImmutableMap } from 'immutable'
 import { EffectKind, type Effect } from './effect'
+import { learnMemory, learnRun, type Estimate } from './estimates'
+import type { Home } from './homes'
 import { hasEnded, JobState, type Attempt, type Job } from './job'
 import { chain, type RecordEvent, type RecordLine } from './record'
-import type { ConfigurationState, State, WorkerUsage } from './state'
+import type { AccountUsage, ConfigurationState, State, WorkerUsage } from './state'
 import type { Worker } from './worker'
 
 const nothingUsed: WorkerUsage = { mask: 0, slots: 0, processors: 0, memoryMegabytes: 0, attempts: ImmutableMap() }
+const nothingHeld: AccountUsage = { queued: 0, accelerators: 0, slots: 0 }
 
 /**
  * A state in the making: handlers read and change it, and it collects their effects and record lines.
@@ -20,6 +23,13 @@
   private spent: State['spent']
   private usage: State['usage']
   private accounts: State['accounts']
+  private homeMap: State['homes']
+  fleetGrewAt: number
+  missingHomes: State['missingHomes']
+  private homeHolders: State['homeHolders']
+  private reserved: State['reserved']
+  private estimates: State['estimates']
+  private retries: State['retries']
   private record: State['record']
   private readonly effects: Effect[] = []
   private readonly lines: RecordLine[] = []
@@ -34,6 +44,13 @@
     this.spent = state.spent
     this.usage = state.usage
     this.accounts = state.accounts
+    this.homeMap = state.homes
+    this.fleetGrewAt = state.fleetGrewAt
+    this.missingHomes = state.missingHomes
+    this.homeHolders = state.homeHolders
+    this.reserved = state.reserved
+    this.estimates = state.estimates
+    this.retries = state.retries
     this.record = state.record
   }
 
@@ -53,6 +70,10 @@
   job (identifier: string): Job | undefined { return this.jobs.get(identifier) }
   worker (name: string): Worker | undefined { return this.workers.get(name) }
   workerUsage (name: string): WorkerUsage { return this.usage.get(name) ?? nothingUsed }
+  get homes (): State['homes'] { return this.homeMap }
+  holderOf (home: string): string | undefined { return this.homeHolders.get(home) }
+  allWorkers (): State['workers'] { return this.workers }
+  estimate (key: string): Estimate | undefined { return this.estimates.get(key) }
   queuedOf (account: string): number { return this.accounts.get(account)?.queued ?? 0 }
   queuedCount (): number { return this.queued.size }
   isSpent (identifier: string): boolean { return this.spent.has(identifier) }
@@ -74,6 +95,33 @@
     this.workers = this.workers.set(worker.name, worker)
   }
 
+  setHome (home: Home): void {
+    this.homeMap = this.homeMap.set(home.identifier, home)
+  }
+
+  removeHome (identifier: string): void {
+    this.homeMap = this.homeMap.delete(identifier)
+  }
+
+  /** Learns from a run that finished. */
+  learnRun (key: string, seconds: number): void {
+    this.estimates = learnRun(this.estimates, key, seconds)
+  }
+
+  /** Learns from a run that needed more memory than it was given. */
+  learnMemory (key: string, megabytes: number): void {
+    this.estimates = learnMemory(this.estimates, key, megabytes)
+  }
+
+  /** Counts a retry and tells how many there were in this minute, this one with it. */
+  countRetry (account: string): number {
+    const minute = Math.floor(this.at / 60_000)
+    const before = this.retries.get(account)
+    const count = before?.minute === minute ? before.count + 1 : 1
+    this.retries = this.retries.set(account, { minute, count })
+    return count
+  }
+
   /** Puts a job in place of its former self and keeps every index in step with it. */
   setJob (job: Job): void {
     const before = this.jobs.get(job.identifier)
@@ -99,8 +147,10 @@
 
   /** @returns the new state with what was collected. */
   finish (): { state: State, effects: readonly Effect[], lines: readonly RecordLine[] } {
-    const { workers, jobs, open, queued, spent, usage, accounts, record } = this
-    const state = { time: this.at, configuration: this.configurationState, workers, jobs, open, queued, spent, usage, accounts, record }
+    const { workers, jobs, open, queued, spent, usage, accounts, homeMap: homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, record } = this
+    const state = {
+      time: this.at, configuration: this.configurationState, workers, jobs, open, queued, spent, usage, accounts, homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, record
+    }
     return { state, effects: this.effects, lines: this.lines }
   }
 
@@ -111,13 +161,23 @@
       this.queued = isQueued ? this.queued.add(job.identifier) : this.queued.delete(job.identifier)
       this.count(job.specification.account, isQueued ? 1 : -1, 0)
     }
+    if (job.state === JobState.Reserved) this.reserved = this.reserved.add(job.identifier)
+    else this.reserved = this.reserved.delete(job.identifier)
+    this.indexHome(before?.attempt?.home, job)
     const isOpen = !hasEnded(job) || job.attempt !== undefined
     this.open = isOpen ? this.open.add(job.identifier) : this.open.delete(job.identifier)
   }
 
-  private count (account: string, queued: number, accelerators: number): void {
-    const before = this.accounts.get(account) ?? { queued: 0, accelerators: 0 }
-    this.accounts = this.accounts.set(account, { queued: before.queued + queued, accelerators: before.accelerators + accelerators })
+  private indexHome (before: string | undefined, job: Job): void {
+    const after = job.attempt?.home
+    if (before === after) return
+    if (before !== undefined) this.homeHolders = this.homeHolders.delete(before)
+    if (after !== undefined) this.homeHolders = this.homeHolders.set(after, job.identifier)
+  }
+
+  private count (account: string, queued: number, accelerators: number, slots = 0): void {
+    const before = this.accounts.get(account) ?? nothingHeld
+    this.accounts = this.accounts.set(account, { queued: before.queued + queued, accelerators: before.accelerators + accelerators, slots: before.slots + slots })
   }
 
   private moveUsage (job: Job, before: Attempt | undefined, after: Attempt | undefined): void {
@@ -137,7 +197,7 @@
       memoryMegabytes: before.memoryMegabytes + sign * memoryNeeded(job),
       attempts: sign > 0 ? before.attempts.set(job.identifier, true) : before.attempts.delete(job.identifier)
     })
-    this.count(account, 0, sign * shape.accelerators)
+    this.count(account, 0, sign * shape.accelerators, sign * shape.slots)
   }
 }
 
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -17,3 +17,5 @@
 export { checkPut, MOST_PUT_BYTES, type CheckedPut } from './configuration-check'
 export { ConsequenceKind, consequenceLines, consequences, type Consequence } from './consequences'
 export { checkAgainst, findProblems, showValue } from './problems'
+export { homeAll, type Home, type HomeMember, type HomeProblem } from './homes'
+export { guaranteeStatus, type GuaranteeStatus } from './guarantees'
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -41,7 +41,17 @@
   Checkpointed = 'checkpointed',
   Stopped = 'stopped',
   NotStarted = 'not-started',
-  ImpossibleShape = 'impossible-shape'
+  ImpossibleShape = 'impossible-shape',
+  MadeRoomForGang = 'made-room-for-gang',
+  Probe = 'probe',
+  Urgent = 'urgent',
+  HomeFound = 'home-found',
+  HomeMoved = 'home-moved',
+  HomeBlocked = 'home-blocked',
+  HomeImpossible = 'home-impossible',
+  HomeRemoved = 'home-removed',
+  Quarantined = 'quarantined',
+  ReturnedToService = 'returned-to-service'
 }
 
 /** A body with its digest. */
@@ -72,13 +82,19 @@
   readonly startedAt: number
   /** Accelerators lie on another account's home. */
   readonly borrowing: boolean
+  /** The home of the job's own account that the attempt holds. */
+  readonly home?: string
   /** 0 until the stop is in the log. */
   readonly stoppingAt: number
   readonly stopReason?: Reason
+  /** Milliseconds that the members may take to checkpoint and stop; 0 for the agent's own limit. */
+  readonly stopGrace?: number
   /** Members whose agent has said that nothing of the attempt runs there any more. */
   readonly ended: readonly string[]
   /** Set once a member ended that may have run its part. */
   readonly mayHaveRun?: boolean
+  /** Set once a member failed. */
+  readonly failed?: boolean
 }
 
 /** How a job ended. */
@@ -99,6 +115,8 @@
   readonly declared: boolean
   readonly state: JobState
   readonly acceptedAt: number
+  /** When it last joined the queue, in milliseconds since the epoch. */
+  readonly queuedAt: number
   /** Number of the last attempt, 0 before the first. */
   readonly attempts: number
   /** Present in the states reserved, running and stopping. */
@@ -107,8 +125,12 @@
   readonly notBefore: number
   /** Distinct workers on which an attempt failed. */
   readonly failedOn: readonly string[]
+  /** Failed attempts, whatever the cause. */
+  readonly failures: number
   /** Memory that a run was seen to need, in megabytes; 0 where nothing is known. */
   readonly learnedMemory: number
+  /** Memory that the next attempt gets, while one that needed more is on its way out. */
+  readonly pendingMemory?: number
   readonly cancelRequested: boolean
   readonly end?: JobEnd
 }
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,21 +1,26 @@
 import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
+import { blameFailure, clearBlame, isJobToBlame } from './blame'
 import type { JobSpecification } from './document'
-import { heldMembers, type Draft } from './draft'
+import { heldMembers, memoryNeeded, type Draft } from './draft'
 import { EffectKind } from './effect'
+import { estimateKey, learnedMemoryOf } from './estimates'
+import { keepsHomes, type HomeView } from './guarantees'
 import { hasEnded, JobState, Reason, type Attempt, type Content, type Job } from './job'
-import { memberFits } from './placement'
+import { holdable, memberFits } from './placement'
+import { retryAt } from './retries'
 import {
   AttemptOutcome, TransactionKind, type AcceptJob, type AttemptKey, type CancelJobs, type EndAttempt, type EndJobs, type Expire,
   type FinishJob, type Refuse, type ReleaseJob, type ReserveJob, type StartJob, type StopJob
 } from './transaction'
 import { notRun, RefusalCode, Verdict, type Refusal } from './verdict'
 
-/** Milliseconds before the first retry; doubled with each attempt. */
-const RETRY_BASE_MILLISECONDS = 100
-const RETRY_MOST_MILLISECONDS = 10_000
-/** A job that failed on so many distinct workers is at fault itself. */
-const FAILED_WORKERS_TO_BLAME_JOB = 3
+/** Milliseconds before a job whose reservation was given back is placed again. */
+const RELEASE_MILLISECONDS = 100
+/** Milliseconds without a new worker after which a shape that no known worker holds is refused at once. */
+const FLEET_SETTLED_MILLISECONDS = 5_000
+/** How much more memory a job gets that needed more than it had. */
+const MEMORY_GROWTH = 1.5
 /** Milliseconds after which a refused caller may try again while a queue is full. */
 const QUEUE_RETRY_MILLISECONDS = 1_000
 
@@ -51,20 +56,26 @@
  * @param declared - written in the document rather than submitted
  */
 export function queueJob (draft: Draft, identifier: string, specification: JobSpecification, declared: boolean): void {
-  draft.setJob({
+  draft.setJob(newJob(draft, identifier, specification, declared))
+  draft.note({ kind: TransactionKind.AcceptJob, account: specification.account, job: identifier, state: JobState.Queued, reason: declared ? Reason.Declared : Reason.Submitted })
+}
+
+function newJob (draft: Draft, identifier: string, specification: JobSpecification, declared: boolean): Job {
+  return {
     identifier,
     specification,
     digest: specificationDigest(specification),
     declared,
     state: JobState.Queued,
     acceptedAt: draft.at,
+    queuedAt: draft.at,
     attempts: 0,
     notBefore: 0,
     failedOn: [],
-    learnedMemory: 0,
+    failures: 0,
+    learnedMemory: learnedMemoryOf(draft.estimate(estimateKey(specification.account, specification.kind))),
     cancelRequested: false
-  })
-  draft.note({ kind: TransactionKind.AcceptJob, account: specification.account, job: identifier, state: JobState.Queued, reason: declared ? Reason.Declared : Reason.Submitted })
+  }
 }
 
 function admit (draft: Draft, identifier: string, specification: JobSpecification): Refusal | 'known' | undefined {
@@ -78,6 +89,9 @@
   const account = document.clientAccounts.find((candidate) => candidate.name === specification.account)
   if (account === undefined) return notRun(RefusalCode.UnknownAccount, `no client account ${specification.account}`)
   if (specification.deadline !== 0 && specification.deadline <= draft.at) return notRun(RefusalCode.DeadlinePassed, 'the deadline has passed')
+  if (draft.at - draft.fleetGrewAt >= FLEET_SETTLED_MILLISECONDS && !holdable(draft.allWorkers(), newJob(draft, identifier, specification, false))) {
+    return notRun(RefusalCode.ImpossibleShape, 'no known part of the fleet could hold this shape, even when empty')
+  }
   if (draft.queuedOf(account.name) >= account.queuedJobs || draft.queuedCount() >= document.limits.queuedJobs) {
     return notRun(RefusalCode.QueueFull, `the queue of ${account.name} is full`, QUEUE_RETRY_MILLISECONDS)
   }
@@ -101,6 +115,7 @@
     if (worker === undefined || !worker.present || worker.incarnation !== member.incarnation) return stale(transaction)
     if (!memberFits(job, worker, draft.workerUsage(member.worker), member.mask)) return stale(transaction)
   }
+  if (!keepsHomes(viewOf(draft), job, transaction.members, transaction.home)) return stale(transaction)
   const attempt: Attempt = {
     number: transaction.attempt,
     members: transaction.members,
@@ -108,6 +123,7 @@
     reservedAt: draft.at,
     startedAt: 0,
     borrowing: transaction.borrowing,
+    home: transaction.home,
     stoppingAt: 0,
     ended: []
   }
@@ -117,6 +133,16 @@
   return ok(undefined)
 }
 
+function viewOf (draft: Draft): HomeView {
+  return {
+    homes: draft.homes,
+    worker: (name) => draft.worker(name),
+    job: (identifier) => draft.job(identifier),
+    attempts: (worker) => draft.workerUsage(worker).attempts.keys(),
+    holder: (home) => draft.holderOf(home)
+  }
+}
+
 /**
  * Gives a reservation back before anything was started.
  * @param draft - the change being made
@@ -132,7 +158,7 @@
 
 function release (draft: Draft, job: RunningJob, reason: Reason): void {
   tellMembers(draft, job.identifier, job.attempt, EffectKind.Release)
-  draft.setJob({ ...job, state: JobState.Queued, attempt: undefined, notBefore: draft.at + RETRY_BASE_MILLISECONDS })
+  draft.setJob({ ...job, state: JobState.Queued, attempt: undefined, notBefore: draft.at + RELEASE_MILLISECONDS })
   noteMove(draft, TransactionKind.ReleaseJob, job, JobState.Queued, reason, job.attempt)
 }
 
@@ -161,7 +187,7 @@
 export function stopJob (draft: Draft, transaction: StopJob): Outcome {
   const job = currentJob(draft, transaction, JobState.Running)
   if (job === undefined) return stale(transaction)
-  beginStop(draft, job, transaction.reason)
+  beginStop(draft, job, transaction.reason, transaction.grace)
   return ok(undefined)
 }
 
@@ -170,10 +196,11 @@
  * @param draft - the change being made
  * @param job - the job
  * @param reason - why
+ * @param grace - milliseconds that the members may take, 0 for the agent's own limit
  */
-export function beginStop (draft: Draft, job: RunningJob, reason: Reason): void {
+export function beginStop (draft: Draft, job: RunningJob, reason: Reason, grace = 0): void {
   if (job.state === JobState.Stopping) return
-  const attempt = { ...job.attempt, stoppingAt: draft.at, stopReason: reason }
+  const attempt = { ...job.attempt, stoppingAt: draft.at, stopReason: reason, stopGrace: grace }
   draft.setJob({ ...job, state: JobState.Stopping, attempt })
   for (const member of heldMembers(attempt)) tellMember(draft, job.identifier, attempt, EffectKind.Stop, member.worker)
   noteMove(draft, TransactionKind.StopJob, job, JobState.Stopping, reason, attempt)
@@ -212,20 +239,26 @@
 export function endMember (draft: Draft, job: RunningJob, worker: string, end: MemberEnd): void {
   if (job.state === JobState.Reserved) { release(draft, job, end.reason); return }
   const attempt: Attempt = { ...job.attempt, ended: [...job.attempt.ended, worker], mayHaveRun: job.attempt.mayHaveRun || end.verdict !== Verdict.NotRun }
-  const failed = end.outcome === AttemptOutcome.Failed
-  const failedOn = failed && !job.failedOn.includes(worker) ? [...job.failedOn, worker] : job.failedOn
-  const next: RunningJob = { ...job, attempt, failedOn, learnedMemory: Math.max(job.learnedMemory, end.reason === Reason.OverMemory ? end.usedMemory : 0) }
+  const next = hasEnded(job) ? { ...job, attempt } : countFailure(draft, { ...job, attempt }, worker, end)
   draft.setJob(next)
-  if (failed && !hasEnded(job)) noteFailure(draft, next, worker)
   if (heldMembers(attempt).length === 0) { concludeAttempt(draft, next, end.reason); return }
   if (!hasEnded(job)) beginStop(draft, next, end.reason)
 }
 
-function noteFailure (draft: Draft, job: Job, workerName: string): void {
-  const worker = draft.worker(workerName)
-  if (worker === undefined) return
-  const failure = { job: job.identifier, account: job.specification.account, at: draft.at }
-  draft.setWorker({ ...worker, recentFailures: [...worker.recentFailures, failure].slice(-8) })
+/** A run that needed more memory is the job's own doing; any other failure may be the worker's. */
+function countFailure (draft: Draft, job: RunningJob, worker: string, end: MemberEnd): RunningJob {
+  if (end.outcome !== AttemptOutcome.Failed) return job
+  const first = job.attempt.failed !== true
+  const failures = job.failures + (first ? 1 : 0)
+  const attempt = { ...job.attempt, failed: true }
+  if (end.reason === Reason.OverMemory) {
+    const learnedMemory = Math.max(job.learnedMemory, end.usedMemory, Math.ceil(memoryNeeded(job) * MEMORY_GROWTH))
+    if (first) draft.learnMemory(estimateKey(job.specification.account, job.specification.kind), learnedMemory)
+    return { ...job, attempt, failures, pendingMemory: Math.max(job.pendingMemory ?? 0, learnedMemory) }
+  }
+  const next = { ...job, attempt, failures, failedOn: job.failedOn.includes(worker) ? job.failedOn : [...job.failedOn, worker] }
+  blameFailure(draft, next, worker)
+  return next
 }
 
 /** All members are out: the job ends, or goes back to its queue as a whole. */
@@ -241,22 +274,20 @@
     end(draft, rest, JobState.Failed, verdict, Reason.MayHaveRun, `attempt ${attempt.number} may have run on ${where}: ${cause}`)
     return
   }
-  if (job.failedOn.length >= FAILED_WORKERS_TO_BLAME_JOB) {
+  if (isJobToBlame(draft, job)) {
     end(draft, rest, JobState.Failed, verdict, Reason.FailedOnDistinctWorkers, `failed on ${job.failedOn.join(', ')}`)
     return
   }
-  if (job.failedOn.length > 0 && job.attempts >= attemptsPerJob) {
-    end(draft, rest, JobState.Failed, verdict, Reason.AttemptsUsedUp, `${job.attempts} attempts, the last ended with ${cause}`)
+  if (job.failures >= attemptsPerJob) {
+    end(draft, rest, JobState.Failed, verdict, Reason.AttemptsUsedUp, `${job.failures} attempts failed, the last ended with ${cause}`)
     return
   }
-  draft.setJob({ ...rest, state: JobState.Queued, notBefore: draft.at + backoff(job.failedOn.length) })
+  const { pendingMemory, ...kept } = rest
+  const notBefore = attempt.failed === true ? retryAt(draft, job) : draft.at
+  draft.setJob({ ...kept, state: JobState.Queued, queuedAt: draft.at, notBefore, learnedMemory: pendingMemory ?? job.learnedMemory })
   noteMove(draft, TransactionKind.EndAttempt, job, JobState.Queued, cause, attempt)
 }
 
-function backoff (failures: number): number {
-  return failures === 0 ? 0 : Math.min(RETRY_BASE_MILLISECONDS * 2 ** (failures - 1), RETRY_MOST_MILLISECONDS)
-}
-
 /**
  * Stores the whole answer of the lead member and stops the others.
  * @param draft - the change being made
@@ -273,8 +304,9 @@
   const { attempt: _, ...rest } = job
   end(draft, left.length > 0 ? { ...rest, attempt } : rest, JobState.Finished, Verdict.Ran, Reason.AnswerStored, '', transaction.answer)
   for (const member of left) tellMember(draft, job.identifier, attempt, EffectKind.Stop, member.worker)
-  const worker = draft.worker(transaction.worker)
-  if (worker !== undefined && worker.recentFailures.length > 0) draft.setWorker({ ...worker, recentFailures: [] })
+  const { account, kind } = job.specification
+  if (attempt.startedAt > 0) draft.learnRun(estimateKey(account, kind), (draft.at - attempt.startedAt) / 1_000)
+  for (const member of attempt.members) clearBlame(draft, member.worker)
   return ok(undefined)
 }
 
--- a/src/core/snapshot.ts
+++ b/src/core/snapshot.ts
@@ -2,8 +2,10 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import { putKey } from './configuration'
 import type { Section } from './document'
+import type { Estimate } from './estimates'
+import type { Home } from './homes'
 import type { Job } from './job'
-import type { AccountUsage, State, StoredPut, WorkerUsage } from './state'
+import type { AccountUsage, RetryWindow, State, StoredPut, WorkerUsage } from './state'
 import type { Transaction } from './transaction'
 import type { Worker } from './worker'
 
@@ -25,6 +27,13 @@
   readonly spent: readonly string[]
   readonly usage: readonly StoredUsage[]
   readonly accounts: ReadonlyArray<readonly [string, AccountUsage]>
+  readonly homes: readonly Home[]
+  readonly fleetGrewAt: number
+  readonly missingHomes: readonly string[]
+  readonly homeHolders: ReadonlyArray<readonly [string, string]>
+  readonly reserved: readonly string[]
+  readonly estimates: ReadonlyArray<readonly [string, Estimate]>
+  readonly retries: ReadonlyArray<readonly [string, RetryWindow]>
   readonly record: State['record']
 }
 
@@ -48,6 +57,13 @@
     spent: state.spent.toArray().sort(),
     usage: sortedEntries(state.usage).map(([worker, usage]) => ({ worker, ...usage, attempts: usage.attempts.keySeq().toArray().sort() })),
     accounts: sortedEntries(state.accounts),
+    homes: sortedEntries(state.homes).map(([, home]) => home),
+    fleetGrewAt: state.fleetGrewAt,
+    missingHomes: state.missingHomes.toArray().sort(),
+    homeHolders: sortedEntries(state.homeHolders),
+    reserved: state.reserved.toArray().sort(),
+    estimates: sortedEntries(state.estimates),
+    retries: sortedEntries(state.retries),
     record: state.record
   }
   return new TextEncoder().encode(JSON.stringify(stored))
@@ -76,6 +92,13 @@
     usage: ImmutableMap(stored.usage.map(({ worker, attempts, ...usage }) =>
       [worker, { ...usage, attempts: ImmutableMap(attempts.map((job) => [job, true as const])) }])),
     accounts: ImmutableMap(stored.accounts as Array<[string, AccountUsage]>),
+    homes: ImmutableMap(stored.homes.map((home) => [home.identifier, home])),
+    fleetGrewAt: stored.fleetGrewAt,
+    missingHomes: ImmutableSet(stored.missingHomes),
+    homeHolders: ImmutableMap(stored.homeHolders as Array<[string, string]>),
+    reserved: ImmutableSet(stored.reserved),
+    estimates: ImmutableMap(stored.estimates as Array<[string, Estimate]>),
+    retries: ImmutableMap(stored.retries as Array<[string, RetryWindow]>),
     record: stored.record
   }
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,5 +1,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import { emptyDocument, type Document, type Section } from './document'
+import type { Estimate } from './estimates'
+import type { Home } from './homes'
 import type { Job } from './job'
 import type { Worker } from './worker'
 
@@ -51,6 +53,14 @@
 export interface AccountUsage {
   readonly queued: number
   readonly accelerators: number
+  readonly slots: number
+}
+
+/** How many retries were spent in a minute. */
+export interface RetryWindow {
+  /** Minutes since the epoch. */
+  readonly minute: number
+  readonly count: number
 }
 
 /** Everything the log decides. Only apply makes a new one. */
@@ -69,6 +79,20 @@
   readonly spent: ImmutableSet<string>
   readonly usage: ImmutableMap<string, WorkerUsage>
   readonly accounts: ImmutableMap<string, AccountUsage>
+  /** The accelerators kept for each guaranteed shape, by the home's identifier. */
+  readonly homes: ImmutableMap<string, Home>
+  /** When the fleet last grew, in milliseconds since the epoch. */
+  readonly fleetGrewAt: number
+  /** Guaranteed shapes that have no place in the present fleet, by the identifier of the home that is wanted. */
+  readonly missingHomes: ImmutableSet<string>
+  /** The job that holds a home of its own account, by the home's identifier. Derived from the jobs. */
+  readonly homeHolders: ImmutableMap<string, string>
+  /** Identifiers of jobs in the state reserved. Derived from the jobs. */
+  readonly reserved: ImmutableSet<string>
+  /** What was learned of run times and memory, by account and kind. */
+  readonly estimates: ImmutableMap<string, Estimate>
+  /** Retries of each account, and of all under the empty name. */
+  readonly retries: ImmutableMap<string, RetryWindow>
   readonly record: RecordHead
 }
 
@@ -83,5 +107,12 @@
   usage: ImmutableMap(),
   accounts: ImmutableMap(),
   spent: ImmutableSet(),
+  homes: ImmutableMap(),
+  fleetGrewAt: 0,
+  missingHomes: ImmutableSet(),
+  homeHolders: ImmutableMap(),
+  reserved: ImmutableSet(),
+  estimates: ImmutableMap(),
+  retries: ImmutableMap(),
   record: { sequence: 0, digest: '0'.repeat(64) }
 }
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -1,5 +1,6 @@
 import type { Content, Member, Reason } from './job'
 import type { JobSpecification } from './document'
+import type { Home } from './homes'
 import type { Verdict } from './verdict'
 import type { WorkerDescription } from './worker'
 
@@ -19,7 +20,8 @@
   CancelJobs = 'cancel-jobs',
   EndJobs = 'end-jobs',
   Refuse = 'refuse',
-  Expire = 'expire'
+  Expire = 'expire',
+  SetHomes = 'set-homes'
 }
 
 /** How a member's part of an attempt ended without an answer. */
@@ -98,6 +100,8 @@
   readonly members: readonly Member[]
   readonly reason: Reason
   readonly borrowing: boolean
+  /** The home of the job's own account that is taken. */
+  readonly home?: string
 }
 
 /** Gives a reservation back before anything was started. */
@@ -115,6 +119,8 @@
 export interface StopJob extends Common, AttemptKey {
   readonly kind: TransactionKind.StopJob
   readonly reason: Reason
+  /** Milliseconds that the members may take to checkpoint and stop; 0 or nothing for the agent's own limit. */
+  readonly grace?: number
 }
 
 /** One member's part of an attempt is over, without an answer. */
@@ -166,8 +172,17 @@
   readonly kind: TransactionKind.Expire
 }
 
+/** Guaranteed shapes get, change or lose their place. */
+export interface SetHomes extends Common {
+  readonly kind: TransactionKind.SetHomes
+  readonly homes: readonly Home[]
+  readonly removed: readonly string[]
+  /** Homes for which there is no place now. */
+  readonly missing: readonly string[]
+}
+
 /** One entry of the log. Time and identifiers are inside. */
 export type Transaction =
   | PutConfiguration | AnnounceWorker | LoseWorker | LeaveWorker
   | AcceptJob | ReserveJob | ReleaseJob | StartJob | StopJob | EndAttempt | FinishJob
-  | CancelJobs | EndJobs | Refuse | Expire
+  | CancelJobs | EndJobs | Refuse | Expire | SetHomes
--- a/src/core/worker.ts
+++ b/src/core/worker.ts
@@ -30,6 +30,8 @@
   readonly recentFailures: readonly WorkerFailure[]
   /** Milliseconds since the epoch before which a quarantined worker gets no probe. */
   readonly probeAt: number
+  /** When the quarantine began, in milliseconds since the epoch. */
+  readonly quarantinedAt?: number
 }
 
 /** One failure of a job on a worker. */
--- a/src/core/workers.ts
+++ b/src/core/workers.ts
@@ -29,6 +29,7 @@
   const before = draft.worker(transaction.worker.name)
   const restarted = before !== undefined && before.incarnation !== transaction.incarnation
   draft.setWorker(describe(before, transaction))
+  if (before === undefined) draft.fleetGrewAt = draft.at
   draft.note({ kind: transaction.kind, workers: [transaction.worker.name], message: restarted ? 'the agent restarted' : 'announced' })
   for (const job of draft.attemptsOn(transaction.worker.name)) {
     if (!isRunning(job)) continue
@@ -48,7 +49,8 @@
     leaving: transaction.leaving,
     health: before?.health ?? WorkerHealth.Healthy,
     recentFailures: before?.recentFailures ?? [],
-    probeAt: before?.probeAt ?? 0
+    probeAt: before?.probeAt ?? 0,
+    quarantinedAt: before?.quarantinedAt
   }
 }
 
