--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -9,6 +9,7 @@
 import { toWireRefusal } from './convert'
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
 import { Machine, recordLines } from './machine'
+import { ControlMetrics } from './metrics'
 import { RecordMemory, type RecordSink } from './recordmemory'
 import {
   AgreementRefusal, MemberChangeKind, Replica, Role, type MemberChange, type MemberChangeError, type NotLeader
@@ -26,6 +27,8 @@
   readonly voters: readonly string[]
   readonly serverCredentials?: grpc.ServerCredentials
   readonly channelCredentials?: grpc.ChannelCredentials
+  /** Where /metrics is served, an IP number and a port; nowhere by default. */
+  readonly metricsAddress?: string
   readonly log: (event: string, fields: object) => void
 }
 
@@ -77,6 +80,17 @@
   private readonly followers: Followers
   private readonly waiters = Waiters.create()
   private readonly record: RecordSink = RecordMemory.create()
+  private readonly metrics = ControlMetrics.create({
+    leads: () => Number(this.machine.leads),
+    term: () => this.term,
+    committedEntries: () => this.replica.status().commit,
+    configurationNumber: () => this.machine.committed.configuration.number,
+    openJobs: () => this.machine.committed.open.size,
+    queuedJobs: () => this.machine.committed.queued.size,
+    presentWorkers: () => this.machine.committed.workers.count((worker) => worker.present),
+    brokenGuarantees: () => 0
+  })
+
   private readonly refusals = new Map<string, CountedRefusal>()
   private replica!: Replica
   private timers: NodeJS.Timeout[] = []
@@ -89,6 +103,7 @@
       onProposed: (effects) => { this.sendReservations(effects) },
       onCommitted: (applied, leading) => { this.committed(applied, leading) },
       decide: (head) => decide(head, { now: Date.now() }),
+      onCommitTime: (milliseconds) => { this.metrics.committed(milliseconds) },
       soon: (run) => { setImmediate(run) },
       onRefusedDecision: (transaction, refusal) => { this.options.log('decision-refused', { transaction, refusal }) }
     })
@@ -126,6 +141,10 @@
     })
     if (replica.isErr()) return err(new Error(replica.error.message))
     host.replica = replica.value
+    const { metricsAddress } = options
+    if (metricsAddress !== undefined) {
+      try { await host.metrics.listen(metricsAddress) } catch (error) { return err(new Error(`metrics address ${metricsAddress} cannot be used: ${(error as Error).message}`)) }
+    }
     return await host.bind()
   }
 
@@ -145,6 +164,7 @@
     if (this.stopping) return
     this.stopping = true
     for (const timer of this.timers) clearInterval(timer)
+    this.metrics.close()
     await this.replica.stop()
     this.giveUp()
     await new Promise<void>((resolve) => {
@@ -252,6 +272,7 @@
 
   private countRefusal (account: string, refusal: Refusal): void {
     const { code, message } = refusal
+    this.metrics.refusal(code)
     const known = this.refusals.get(`${account}/${code}`)
     if (known === undefined) this.refusals.set(`${account}/${code}`, { account, code, message, count: 1 })
     else known.count++
--- a/src/control/machine.ts
+++ b/src/control/machine.ts
@@ -18,6 +18,8 @@
   readonly onProposed: (effects: readonly Effect[]) => void
   /** What a committed entry did, on every host. */
   readonly onCommitted: (applied: readonly Applied[], leading: boolean) => void
+  /** Milliseconds between the proposal and the commit of an own entry. */
+  readonly onCommitTime?: (milliseconds: number) => void
   /** What to do next, after entries were applied to the head. */
   readonly decide: (head: State) => readonly Transaction[]
   /** Runs a function soon, once. */
@@ -32,6 +34,8 @@
 }
 
 interface Pending extends EntryName {
+  /** Monotonic milliseconds. */
+  readonly proposedAt: number
   readonly applied: readonly Applied[]
   readonly settle: ReadonlyArray<() => void>
   readonly abandon: ReadonlyArray<() => void>
@@ -103,6 +107,7 @@
     const expected = this.pending[0]
     if (expected !== undefined && expected.index === name.index && expected.term === name.term) {
       this.pending.shift()
+      this.ports.onCommitTime?.(performance.now() - expected.proposedAt)
       this.committedState = expected.applied.at(-1)?.state ?? this.committedState
       this.ports.onCommitted(expected.applied, this.leading)
       for (const settle of expected.settle) settle()
@@ -159,13 +164,13 @@
     this.wake()
   }
 
-  private propose (transactions: readonly Transaction[], entry: Omit<Pending, keyof EntryName>): void {
+  private propose (transactions: readonly Transaction[], entry: Omit<Pending, keyof EntryName | 'proposedAt'>): void {
     const name = this.ports.propose(encodeTransactions(transactions))
     if (name.isErr()) {
       for (const abandon of entry.abandon) abandon()
       return
     }
-    this.pending.push({ ...name.value, ...entry })
+    this.pending.push({ ...name.value, ...entry, proposedAt: performance.now() })
     this.ports.onProposed(entry.applied.flatMap((one) => one.effects))
   }
 
--- /dev/null
+++ b/src/control/metrics.ts
@@ -0,0 +1,91 @@
+import { createServer, type Server } from 'node:http'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** What the gauges of a control host read when they are collected. */
+export interface ControlGauges {
+  readonly leads: () => number
+  readonly term: () => number
+  readonly committedEntries: () => number
+  readonly configurationNumber: () => number
+  readonly openJobs: () => number
+  readonly queuedJobs: () => number
+  readonly presentWorkers: () => number
+  readonly brokenGuarantees: () => number
+}
+
+const MILLISECONDS_PER_SECOND = 1_000
+const COMMIT_BUCKETS_SECONDS = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1]
+
+const help: { readonly [name in keyof ControlGauges]: string } = {
+  leads: '1 while this host leads',
+  term: 'The present term',
+  committedEntries: 'Index of the last committed entry',
+  configurationNumber: 'Number of the accepted document',
+  openJobs: 'Jobs that have not ended or still hold something',
+  queuedJobs: 'Jobs that wait',
+  presentWorkers: 'Workers whose lease holds',
+  brokenGuarantees: 'Guaranteed shapes that have no home'
+}
+
+/** The metrics of a control host, in the text form of Prometheus. */
+export class ControlMetrics {
+  private readonly registry = new Registry()
+  private readonly commits = new Histogram({
+    name: 'bramleyflow_control_commit_seconds', help: 'Time from proposal to commit', buckets: COMMIT_BUCKETS_SECONDS, registers: [this.registry]
+  })
+
+  private readonly refused = new Counter({
+    name: 'bramleyflow_control_refusals_total', help: 'Jobs refused, by code', labelNames: ['code'], registers: [this.registry]
+  })
+
+  private server?: Server
+
+  private constructor (gauges: ControlGauges) {
+    for (const name of Object.keys(help) as Array<keyof ControlGauges>) this.gauge(name, gauges[name])
+  }
+
+  /**
+   * Makes the metrics.
+   * @param gauges - what is read at each collection
+   * @returns the metrics, served nowhere yet
+   */
+  static create (gauges: ControlGauges): ControlMetrics {
+    return new ControlMetrics(gauges)
+  }
+
+  /** Counts a commit that took so many milliseconds. */
+  committed (milliseconds: number): void {
+    this.commits.observe(milliseconds / MILLISECONDS_PER_SECOND)
+  }
+
+  /** Counts a refusal. */
+  refusal (code: string): void {
+    this.refused.inc({ code })
+  }
+
+  /** Serves /metrics at an address; rejects where it cannot be bound. */
+  listen (address: string): Promise<void> {
+    const separator = address.lastIndexOf(':')
+    this.server = createServer((incoming, outgoing) => {
+      if (incoming.url !== '/metrics') { outgoing.writeHead(404).end(); return }
+      void this.registry.metrics().then((text) => { outgoing.writeHead(200, { 'content-type': this.registry.contentType }).end(text) })
+    })
+    return new Promise((resolve, reject) => {
+      this.server?.once('error', reject)
+      this.server?.listen(Number(address.slice(separator + 1)), address.slice(0, separator), resolve)
+    })
+  }
+
+  /** Stops serving. */
+  close (): void {
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  private gauge (name: keyof ControlGauges, read: () => number): void {
+    const snake = name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)
+    const gauge: Gauge = new Gauge({
+      name: `bramleyflow_control_${snake}`, help: help[name], registers: [this.registry], collect: () => { gauge.set(read()) }
+    })
+  }
+}
