Show the cluster to operators; tell silent workers to the policy

Cause: status showed raw maps, and a worker that missed heartbeats still got new work until its lease ran out. Change: one typed view; SoftState.silent filled after 2.5 s of silence; reservations are timed out by decide alone.

--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -15,8 +15,8 @@
 export const AGENT_HEARTBEAT_MILLISECONDS = 1_000
 /** A worker is lost so much after its lease ended: covers clock rates that differ and a late stop. */
 const LEASE_MARGIN_MILLISECONDS = 1_000
-/** A reservation that is not granted by all members in this time is given back. */
-const RESERVATION_MILLISECONDS = 2_000
+/** A worker that was not heard of for so long gets no new work, in milliseconds. */
+const SILENT_MILLISECONDS = 2_500
 /** Time between the request to checkpoint and the stop, in milliseconds. */
 const STOP_GRACE_MILLISECONDS = 2_000
 
@@ -103,9 +103,19 @@
     for (const stream of this.streams.values()) this.send(stream, { $case: 'update', value: update })
   }
 
-  /** Workers whose lease has run out, and reservations that took too long. */
+  /** Workers whose lease has run out. */
   overdue (now: number): Transaction[] {
-    return [...this.lostWorkers(now), ...this.lateReservations(now)]
+    return this.lostWorkers(now)
+  }
+
+  /** Workers that have missed heartbeats and are not lost yet. */
+  silent (now: number): ReadonlySet<string> {
+    const silent = new Set<string>()
+    for (const [worker, heardAt] of this.lastHeard) {
+      const attached = this.streams.has(worker)
+      if (!attached || heardAt + SILENT_MILLISECONDS < now) silent.add(worker)
+    }
+    return silent
   }
 
   /** Processes that do not yet have the newest number in force. */
@@ -124,19 +134,6 @@
     return lost
   }
 
-  private lateReservations (now: number): Transaction[] {
-    const late: Transaction[] = []
-    const { open, jobs } = this.ports.head()
-    for (const identifier of open) {
-      const job = jobs.get(identifier)
-      if (job?.state !== JobState.Reserved || job.attempt === undefined) continue
-      if (Math.max(job.attempt.reservedAt, this.leadingSince) + RESERVATION_MILLISECONDS < now) {
-        late.push({ kind: TransactionKind.ReleaseJob, at: now, job: identifier, attempt: job.attempt.number, reason: Reason.ReservationTimedOut })
-      }
-    }
-    return late
-  }
-
   private receive (call: AgentCall, envelope: wire.AgentMessage): void {
     const { message } = envelope
     if (message === undefined) return
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeState, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type Transaction
+  decide, decodeState, EffectKind, encodeState, guaranteeStatus, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
@@ -14,6 +14,7 @@
 import {
   AgreementRefusal, MemberChangeKind, Replica, Role, type MemberChange, type MemberChangeError, type NotLeader
 } from './replica'
+import { clusterView } from './view'
 import { Waiters } from './waiters'
 
 /** What a control host is started with. */
@@ -88,7 +89,7 @@
     openJobs: () => this.machine.committed.open.size,
     queuedJobs: () => this.machine.committed.queued.size,
     presentWorkers: () => this.machine.committed.workers.count((worker) => worker.present),
-    brokenGuarantees: () => 0
+    brokenGuarantees: () => guaranteeStatus(this.machine.committed).reduce((sum, { missing }) => sum + missing, 0)
   })
 
   private readonly refusals = new Map<string, CountedRefusal>()
@@ -102,7 +103,7 @@
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
       onCommitted: (applied, leading) => { this.committed(applied, leading) },
-      decide: (head) => decide(head, { now: Date.now() }),
+      decide: (head) => decide(head, { now: Date.now(), silent: this.agents.silent(Date.now()) }),
       onCommitTime: (milliseconds) => { this.metrics.committed(milliseconds) },
       soon: (run) => { setImmediate(run) },
       onRefusedDecision: (transaction, refusal) => { this.options.log('decision-refused', { transaction, refusal }) }
@@ -295,7 +296,7 @@
 
   private status (): wire.StatusReply {
     const replica = this.replica.status()
-    const { configuration, workers, jobs, accounts, open, queued } = this.machine.committed
+    const { configuration } = this.machine.committed
     const inForce = [...this.agents.inForce(), ...this.followers.inForce()]
     return wire.StatusReply.fromPartial({
       identity: replica.identity,
@@ -307,14 +308,7 @@
       members: replica.members.map(({ identity, address, voter, match }) => ({ identity, address, role: voter ? 'voter' : 'learner', match })),
       laggards: inForce.filter((process) => process.inForce !== configuration.number),
       followers: inForce.length,
-      viewJson: JSON.stringify({
-        workers: [...workers.values()],
-        usage: this.machine.committed.usage.map(({ attempts, ...usage }) => ({ ...usage, jobs: attempts.size })).toJSON(),
-        accounts: accounts.toJSON(),
-        jobs: jobs.size,
-        open: open.size,
-        queued: queued.size
-      })
+      viewJson: JSON.stringify(clusterView(this.machine.committed))
     })
   }
 }
