--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -7,12 +7,13 @@
 import type { ChannelCredentials, Server } from '@grpc/grpc-js'
 import {
   AgreementRefusal, EntryKind, InputKind, MemberChangeKind, Role, currentMembers, defaultTiming, foundingEntry, isReadyLeader, lastIndex,
-  membersAt, startAgreement, stepAgreement, termAt,
-  type AgreementState, type Entry, type HardState, type Input, type MemberChange, type Message, type Output, type ProposedEntry, type Recovered,
+  membersAt, nextRepair, startAgreement, stepAgreement, termAt,
+  type AgreementState, type Entry, type Input, type MemberChange, type Output, type ProposedEntry, type Recovered,
   type SnapshotMessage, type Timing
 } from '../core/agreement'
 import type { IdentifyReply, JoinReply, JoinRequest } from '../wire/index'
 import { FolderDisk, type Disk } from './disk'
+import { LogWriter } from './log-writer'
 import { Peers } from './peers'
 import { PendingCalls, type MemberChangeError, type NotLeader } from './pending'
 import { Storage, StorageErrorKind, type Snapshot, type StorageError } from './storage'
@@ -90,10 +91,10 @@
 /** One copy of the log. */
 export class Replica {
   private readonly peers: Peers
+  private readonly writer: LogWriter
   private readonly outputs: Output[] = []
   private delivering = false
   private flushDue = false
-  private writing = false
   private stopped = false
   private founding = false
   /** Nothing is received before the start, because the start sets the state anew. */
@@ -102,14 +103,9 @@
   private nextJoin = 0
   private nextRepair = 0
   private told = { role: Role.Learner, term: 0 }
-  private entriesToWrite: Entry[] = []
-  private hardStateToWrite?: HardState
-  private snapshotToWrite?: Snapshot
-  private afterSync: Message[] = []
   private bytesSinceSnapshot = 0
   private savingSnapshot = false
   private readonly pending = PendingCalls.create()
-  private idle: Array<() => void> = []
 
   private constructor (
     private readonly options: ReplicaOptions,
@@ -117,6 +113,11 @@
     private recovered: Recovered,
     private state: AgreementState
   ) {
+    this.writer = LogWriter.create(storage, {
+      send: (message) => { this.peers.send(message) },
+      synced: (entry) => { this.handle({ kind: InputKind.Synced, index: entry.index, term: entry.term }) },
+      failed: (error) => { this.fail(error) }
+    })
     this.peers = Peers.create(options.server, options.address, {
       identity: () => this.state.identity,
       cluster: () => this.state.cluster,
@@ -231,7 +232,7 @@
     if (this.state.role === Role.Leader) await this.transferLeadership()
     this.stopped = true
     clearInterval(this.timer)
-    if (this.writing) await new Promise<void>((resolve) => { this.idle.push(resolve) })
+    await this.writer.whenIdle()
     this.pending.abandon(this.notLeader())
     this.peers.close()
     await this.storage.close()
@@ -266,9 +267,7 @@
 
   private deliverOne (output: Output): void {
     if (output.restore !== undefined) this.restore(output.restore)
-    this.entriesToWrite.push(...output.append)
-    this.hardStateToWrite = output.hardState ?? this.hardStateToWrite
-    this.afterSync.push(...output.afterSync)
+    this.writer.add(output)
     for (const message of output.messages) this.peers.send(message)
     if (output.committed.length > 0) this.commit(output.committed)
     for (const identifier of output.confirmed) this.pending.settleRead(identifier, ok(undefined))
@@ -278,8 +277,6 @@
 
   private restore (message: SnapshotMessage): void {
     const { head, data } = message
-    this.entriesToWrite = []
-    this.snapshotToWrite = { head, data }
     this.bytesSinceSnapshot = 0
     this.options.log('restored', { index: head.index, bytes: data.length })
     this.options.onRestore(data, head.index)
@@ -320,37 +317,7 @@
     const { state, output } = stepAgreement(this.state, performance.now(), { kind: InputKind.Flush })
     this.state = state
     for (const message of output.messages) this.peers.send(message)
-    this.write()
-  }
-
-  /** Writes all there is with one sync, then sends what waited for it, until nothing is left. */
-  private async write (): Promise<void> {
-    if (this.writing) return
-    this.writing = true
-    while (this.somethingToWrite() && await this.writeBatch());
-    this.writing = false
-    for (const resolve of this.idle.splice(0)) resolve()
-  }
-
-  private somethingToWrite (): boolean {
-    return this.entriesToWrite.length > 0 || this.hardStateToWrite !== undefined || this.snapshotToWrite !== undefined || this.afterSync.length > 0
-  }
-
-  private async writeBatch (): Promise<boolean> {
-    const batch = { entries: this.entriesToWrite, hardState: this.hardStateToWrite, snapshot: this.snapshotToWrite }
-    const messages = this.afterSync
-    this.entriesToWrite = []
-    this.hardStateToWrite = undefined
-    this.snapshotToWrite = undefined
-    this.afterSync = []
-    if (batch.entries.length > 0 || batch.hardState !== undefined || batch.snapshot !== undefined) {
-      const written = await this.storage.write(batch)
-      if (written.isErr()) { this.fail(written.error); return false }
-    }
-    for (const message of messages) this.peers.send(message)
-    const last = batch.entries.at(-1)
-    if (last !== undefined) this.handle({ kind: InputKind.Synced, index: last.index, term: last.term })
-    return true
+    this.writer.write()
   }
 
   /** After a failed write nothing on this host can be promised any more. */
@@ -448,15 +415,10 @@
     return { accepted, leader: this.leaderAddress() ?? '' }
   }
 
-  /** A voter whose host came back with a new identity is replaced by it: first the new one votes, then the old one goes. */
   private repair (): void {
     if (!isReadyLeader(this.state)) return
-    const members = currentMembers(this.state)
-    const voters = members.filter((member) => member.voter)
-    const newcomer = members.find((member) => !member.voter && voters.some((voter) => voter.address === member.address))
-    const replaced = voters.find((voter, position) => voters.slice(position + 1).some((later) => later.address === voter.address))
-    if (replaced !== undefined) this.handle({ kind: InputKind.ChangeMembers, change: { kind: MemberChangeKind.Remove, identity: replaced.identity } })
-    else if (newcomer !== undefined) this.handle({ kind: InputKind.ChangeMembers, change: { kind: MemberChangeKind.Promote, identity: newcomer.identity } })
+    const change = nextRepair(this.state)
+    if (change !== undefined) this.handle({ kind: InputKind.ChangeMembers, change })
   }
 }
 
--- a/src/core/agreement-members.ts
+++ b/src/core/agreement-members.ts
@@ -1,7 +1,7 @@
 /**
  * Changes of members, one member at a time.
  */
-import { AgreementRefusal, EntryKind, MemberChangeKind, type Member, type MemberChange } from './agreement-types'
+import { AgreementRefusal, EntryKind, MemberChangeKind, type AgreementState, type Member, type MemberChange } from './agreement-types'
 import { currentMembers, encodeMembers, quorumOf, votersOf } from './agreement-log'
 import type { Step } from './agreement-step'
 
@@ -30,6 +30,21 @@
   step.advanceCommit()
 }
 
+/**
+ * The next change after a host came back with an emptied folder: first its new identity votes, then the old one goes.
+ * In this order every entry committed in between is on all hosts that are left.
+ * @param state - the leader's state
+ * @returns the change to make, undefined where there is nothing to repair
+ */
+export function nextRepair (state: AgreementState): MemberChange | undefined {
+  const members = currentMembers(state)
+  const voters = members.filter((member) => member.voter)
+  const replaced = voters.find((voter, position) => voters.slice(position + 1).some((later) => later.address === voter.address))
+  if (replaced !== undefined) return { kind: MemberChangeKind.Remove, identity: replaced.identity }
+  const newcomer = members.find((member) => !member.voter && voters.some((voter) => voter.address === member.address))
+  return newcomer === undefined ? undefined : { kind: MemberChangeKind.Promote, identity: newcomer.identity }
+}
+
 function membersAfter (step: Step, change: MemberChange): readonly Member[] | AgreementRefusal {
   if (!step.ready || step.state.transfer !== undefined) return AgreementRefusal.NotLeader
   if (step.changePending) return AgreementRefusal.ChangePending
--- a/src/core/agreement-step.ts
+++ b/src/core/agreement-step.ts
@@ -15,7 +15,7 @@
 const IN_FLIGHT_MOST = 32
 const DRAWS_SKIPPED = 8
 const RETRY_HEARTBEATS = 3
-const SNAPSHOT_RETRY_MILLISECONDS = 10_000
+const SNAPSHOT_RETRY_MILLISECONDS = 2000
 
 type Body<M> = M extends Message ? Omit<M, 'cluster' | 'from' | 'to' | 'term'> & { readonly term?: number } : never
 
--- a/src/core/agreement.ts
+++ b/src/core/agreement.ts
@@ -13,6 +13,7 @@
 import { Step } from './agreement-step'
 
 export * from './agreement-types'
+export { nextRepair } from './agreement-members'
 export { currentMembers, lastIndex, membersAt, termAt } from './agreement-log'
 
 /** Times used where a replica is given none. */
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -19,3 +19,4 @@
 export { checkAgainst, findProblems, showValue } from './problems'
 export { homeAll, type Home, type HomeMember, type HomeProblem } from './homes'
 export { guaranteeStatus, type GuaranteeStatus } from './guarantees'
+export { passesFence, type Fence } from './agreement-fence'
