--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { ChannelCredentials } from '@grpc/grpc-js'
+import { passesFence } from '../core/agreement-fence'
 import type { WorkerDescription } from '../core/worker'
 import type { AgentMessage, AttemptKey, ControlMessage, Heartbeat } from '../wire'
 import { EffectKind, EventKind, keyName, Phase, StopMode, type AgentEvent, type AgentState, type Attempt, type Effect } from './attempt'
@@ -215,7 +216,7 @@
 
   /** Whoever has an older term or configuration than was seen is no longer the leader. */
   private receive (message: ControlMessage): void {
-    if (message.term < this.term || message.configuration < this.configuration) {
+    if (!passesFence({ term: this.term, configuration: this.configuration }, message)) {
       this.log('refused-old-leader', { term: message.term, seen: this.term, configuration: message.configuration })
       this.stream.drop()
       return
