Keep the audit record in sealed segments in the data folder

The record lay in memory and was gone with the process. A header carries the digest of the line before, so the chain can be checked across removed segments; lines a restored host never had show as a gap. A torn end and a begun, empty segment were cut but the segment before was not opened again: found by its test, mended. Guarantees are packed with homeAll before acceptance. Lines carry what a statement needs: shape, masks, home, grace, borrowing, changed promises.

--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -150,7 +150,7 @@
   const { transaction, answered } = checked.value
   // A resend is proposed like the first try, so that its answer waits for the commit of the entry it repeats.
   const outcome = await ports.submit({ ...transaction, at: Date.now() })
-  if (outcome.isErr() && answered === undefined) return refusedPut(ports, outcome.error)
+  if (outcome.isErr()) return refusedPut(ports, outcome.error)
   const { configuration } = ports.committed()
   const answer = answered ?? storedAnswer(configuration, request.team, request.requestIdentifier)
   const reply = configurationReply(ports.committed())
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -10,7 +10,7 @@
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
 import { Machine, recordLines } from './machine'
 import { ControlMetrics } from './metrics'
-import { RecordMemory, type RecordSink } from './recordmemory'
+import { RecordStore } from './recordstore'
 import {
   AgreementRefusal, MemberChangeKind, Replica, Role, type MemberChange, type MemberChangeError, type NotLeader
 } from './replica'
@@ -80,7 +80,6 @@
   private readonly agents: Agents
   private readonly followers: Followers
   private readonly waiters = Waiters.create()
-  private readonly record: RecordSink = RecordMemory.create()
   private readonly metrics = ControlMetrics.create({
     leads: () => Number(this.machine.leads),
     term: () => this.term,
@@ -98,7 +97,7 @@
   private term = 0
   private stopping = false
 
-  private constructor (private readonly options: ControlOptions) {
+  private constructor (private readonly options: ControlOptions, private readonly record: RecordStore) {
     this.machine = Machine.create({
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
@@ -125,7 +124,10 @@
    * @returns the host, or why it could not start
    */
   static async create (options: ControlOptions): Promise<Result<ControlHost, Error>> {
-    const host = new ControlHost(options)
+    const record = RecordStore.open(options.folder)
+    if (record.isErr()) return err(record.error)
+    if (record.value.cut !== undefined) options.log('record-cut', { at: record.value.cut })
+    const host = new ControlHost(options, record.value)
     host.server.addService(wire.ControlService, controlCalls(host.ports()))
     const replica = await Replica.create({
       folder: options.folder,
@@ -136,7 +138,10 @@
       credentials: options.channelCredentials,
       onCommit: (entries) => { for (const entry of entries) host.machine.commit(entry, entry.data) },
       onRestore: (snapshot) => { host.machine.restore(decodeState(snapshot)) },
-      takeSnapshot: () => encodeState(host.machine.committed),
+      takeSnapshot: () => {
+        host.record.sync()
+        return encodeState(host.machine.committed)
+      },
       onRole: (role, term) => { host.onRole(role, term) },
       log: options.log
     })
@@ -167,6 +172,7 @@
     for (const timer of this.timers) clearInterval(timer)
     this.metrics.close()
     await this.replica.stop()
+    this.record.close()
     this.giveUp()
     await new Promise<void>((resolve) => {
       const force = setTimeout(() => { this.server.forceShutdown(); resolve() }, 500)
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -7,6 +7,7 @@
 import { EffectKind } from './effect'
 import { hasEnded, Reason, type Job } from './job'
 import { cancelJob, queueJob } from './jobs'
+import { changedPromises } from './promises'
 import type { ConfigurationState, StoredPut } from './state'
 import type { PutConfiguration, SectionNumber } from './transaction'
 import { notRun, RefusalCode, type Refusal } from './verdict'
@@ -104,7 +105,7 @@
     digestBefore: documentDigest(before.document),
     digestAfter: put.documentDigest,
     consequences: lines,
-    guarantees: document.guarantees === before.document.guarantees ? undefined : document.guarantees,
+    promises: changedPromises(before.document, document),
     message: changed.join(', ')
   })
   for (const job of ended.removed) cancelJob(draft, job, Reason.RemovedFromDocument)
--- a/src/core/consequences.ts
+++ b/src/core/consequences.ts
@@ -1,4 +1,5 @@
-import { isDrained, fleetHolds } from './fleet-check'
+import { fleetHolds } from './fleet-check'
+import { isDrained } from './guarantees'
 import { canonicalDigest } from './canonical'
 import { RemovalRule, Section, sections, type ClientAccount, type DeclaredJob, type Document, type Guarantee } from './document'
 import { hasEnded, JobState, type Job } from './job'
@@ -177,8 +178,8 @@
 function workerConsequences ({ state, before, after }: Change): Consequence[] {
   const workers = state.workers.valueSeq().toArray().sort((one, other) => one.name < other.name ? -1 : 1)
   return workers.flatMap((worker) => {
-    const was = isDrained(before.maintenance, worker)
-    const is = isDrained(after.maintenance, worker)
+    const was = isDrained(worker, before.maintenance)
+    const is = isDrained(worker, after.maintenance)
     if (was === is) return []
     return [is
       ? say(ConsequenceKind.WorkerDrained, worker.name, `worker ${worker.name} gets no new work`)
--- a/src/core/fleet-check.ts
+++ b/src/core/fleet-check.ts
@@ -1,27 +1,12 @@
 import { canonicalDigest } from './canonical'
-import type { Document, Guarantee, Maintenance, Shape } from './document'
+import { Level, type Document, type Guarantee, type Maintenance, type Shape } from './document'
+import { isDrained } from './guarantees'
+import { homeAll } from './homes'
 import { showValue } from './problems'
 import type { State } from './state'
 import type { Problem } from './verdict'
+import { groupOf } from './topology'
 import type { Worker } from './worker'
-import { Level } from './document'
-
-/** How a worker's group is named at each level. */
-const groupOf: { readonly [level in Level]: (worker: Worker) => string } = {
-  [Level.Worker]: (worker) => worker.name,
-  [Level.Rack]: (worker) => `${worker.dataCentre}/${worker.rack}`,
-  [Level.DataCentre]: (worker) => worker.dataCentre
-}
-
-/**
- * Tells whether a worker is drained by the document.
- * @param maintenance - the section of that name
- * @param worker - the worker
- * @returns true where it, its rack or its data centre is listed
- */
-export function isDrained (maintenance: Maintenance, worker: Pick<Worker, 'name' | 'rack' | 'dataCentre'>): boolean {
-  return maintenance.workers.includes(worker.name) || maintenance.racks.includes(worker.rack) || maintenance.dataCentres.includes(worker.dataCentre)
-}
 
 /**
  * Tells whether a fleet, empty of all work, could hold a shape.
@@ -57,16 +42,16 @@
   const before = state.configuration.document
   if (!promisesMore(before, document) && !drainsMore(before.maintenance, document.maintenance)) return []
   const announced = state.workers.valueSeq().toArray().filter((worker) => !worker.leaving)
-  const serving = announced.filter((worker) => !isDrained(document.maintenance, worker))
-  const homeless = withoutHome(document.guarantees, serving)
-  if (homeless.length === 0) return []
-  if (withoutHome(document.guarantees, announced).length === 0) {
+  const serving = announced.filter((worker) => !isDrained(worker, document.maintenance))
+  const packed = homeAll(document.guarantees, serving)
+  if (packed.isOk()) return []
+  if (serving.length < announced.length && homeAll(document.guarantees, announced).isOk()) {
     return [{ path: '/maintenance', value: showValue(document.maintenance), expected: 'workers in service that hold all guarantees at once' }]
   }
-  return homeless.map((position) => ({
-    path: `/guarantees/${position}`,
-    value: showValue(document.guarantees[position]),
-    expected: `a shape that the ${serving.length} announced workers in service hold beside all other guarantees`
+  return packed.error.map(({ position, wanted, fits }) => ({
+    path: `/guarantees/${position}/count`,
+    value: showValue(wanted),
+    expected: `at most ${fits}: no more of this shape fits the ${serving.length} announced workers in service beside all other guarantees`
   }))
 }
 
@@ -83,34 +68,3 @@
   const added = (earlier: readonly string[], later: readonly string[]): boolean => later.some((entry) => !earlier.includes(entry))
   return added(before.dataCentres, after.dataCentres) || added(before.racks, after.racks) || added(before.workers, after.workers)
 }
-
-/** Takes guarantees one by one, the largest first, and keeps what each takes from the row of its workers. */
-function withoutHome (guarantees: readonly Guarantee[], workers: readonly Worker[]): number[] {
-  const free = new Map(workers.map((worker) => [worker.name, worker.accelerators]))
-  const order = guarantees.map((_, position) => position).sort((one, other) => size(guarantees[other]!) - size(guarantees[one]!) || one - other)
-  return order.filter((position) => {
-    const { shape, count } = guarantees[position]!
-    for (let copy = 0; copy < count; copy++) if (!takeShape(shape, workers, free)) return true
-    return false
-  })
-}
-
-function size ({ shape }: Guarantee): number {
-  return shape.workers * shape.accelerators * 16 + shape.accelerators
-}
-
-function takeShape (shape: Shape, workers: readonly Worker[], free: Map<string, number>): boolean {
-  const groups = new Map<string, Worker[]>()
-  for (const worker of workers) {
-    if (!isLargeEnough(shape, worker) || (free.get(worker.name) ?? 0) < shape.accelerators) continue
-    const group = groupOf[shape.workers === 1 ? Level.DataCentre : shape.within](worker)
-    groups.set(group, [...groups.get(group) ?? [], worker])
-  }
-  for (const members of groups.values()) {
-    if (members.length < shape.workers) continue
-    members.sort((one, other) => free.get(one.name)! - free.get(other.name)! || (one.name < other.name ? -1 : 1))
-    for (const member of members.slice(0, shape.workers)) free.set(member.name, free.get(member.name)! - shape.accelerators)
-    return true
-  }
-  return false
-}
--- a/src/core/guarantees.ts
+++ b/src/core/guarantees.ts
@@ -39,19 +39,21 @@
   if (home === undefined) return
   draft.removeHome(identifier)
   const reason = wanted.has(identifier) && missing.has(identifier) ? Reason.HomeImpossible : Reason.HomeRemoved
-  draft.note({ kind: TransactionKind.SetHomes, account: home.account, reason, workers: workersOf(home), message: identifier })
+  draft.note({ kind: TransactionKind.SetHomes, account: home.account, home: identifier, reason, workers: workersOf(home) })
 }
 
 function placeHome (draft: Draft, home: Home): void {
   const reason = draft.homes.has(home.identifier) ? Reason.HomeMoved : Reason.HomeFound
   draft.setHome(home)
-  draft.note({ kind: TransactionKind.SetHomes, account: home.account, reason, workers: workersOf(home), message: home.identifier })
+  const { account, identifier, graceSeconds } = home
+  const masks = home.members.map((member) => member.mask)
+  draft.note({ kind: TransactionKind.SetHomes, account, home: identifier, graceSeconds, reason, workers: workersOf(home), masks })
 }
 
 function noteMissing (draft: Draft, identifier: string, wanted: ReadonlyMap<string, WantedHome>, removed: ReadonlySet<string>): void {
   const home = wanted.get(identifier)
   if (home === undefined || removed.has(identifier) || draft.missingHomes.has(identifier)) return
-  draft.note({ kind: TransactionKind.SetHomes, account: home.account, reason: Reason.HomeImpossible, message: `${identifier}: no place in the present fleet` })
+  draft.note({ kind: TransactionKind.SetHomes, account: home.account, home: identifier, reason: Reason.HomeImpossible, message: 'no place in the present fleet' })
 }
 
 function workersOf (home: Home): string[] {
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -9,6 +9,7 @@
 import { hasEnded, JobState, Reason, type Attempt, type Content, type Job } from './job'
 import { holdable, memberFits } from './placement'
 import { retryAt } from './retries'
+import type { RecordEvent } from './record'
 import {
   AttemptOutcome, TransactionKind, type AcceptJob, type AttemptKey, type CancelJobs, type EndAttempt, type EndJobs, type Expire,
   type FinishJob, type Refuse, type ReleaseJob, type ReserveJob, type StartJob, type StopJob
@@ -57,7 +58,9 @@
  */
 export function queueJob (draft: Draft, identifier: string, specification: JobSpecification, declared: boolean): void {
   draft.setJob(newJob(draft, identifier, specification, declared))
-  draft.note({ kind: TransactionKind.AcceptJob, account: specification.account, job: identifier, state: JobState.Queued, reason: declared ? Reason.Declared : Reason.Submitted })
+  const { account, shape } = specification
+  const { workers, accelerators, within } = shape
+  draft.note({ kind: TransactionKind.AcceptJob, account, job: identifier, state: JobState.Queued, reason: declared ? Reason.Declared : Reason.Submitted, shape: { workers, accelerators, within } })
 }
 
 function newJob (draft: Draft, identifier: string, specification: JobSpecification, declared: boolean): Job {
@@ -129,7 +132,11 @@
   }
   draft.setJob({ ...job, state: JobState.Reserved, attempts: attempt.number, attempt })
   tellMembers(draft, job.identifier, attempt, EffectKind.Reserve)
-  noteMove(draft, transaction.kind, job, JobState.Reserved, transaction.reason, attempt)
+  noteMove(draft, transaction.kind, job, JobState.Reserved, transaction.reason, attempt, {
+    home: attempt.home,
+    borrowing: attempt.borrowing || undefined,
+    masks: attempt.members.map((member) => member.mask)
+  })
   return ok(undefined)
 }
 
@@ -419,8 +426,11 @@
   })
 }
 
-function noteMove (draft: Draft, kind: TransactionKind, job: Job, state: JobState, reason: Reason, attempt: Attempt): void {
+type PlaceNote = Pick<RecordEvent, 'home' | 'borrowing' | 'masks'>
+
+function noteMove (draft: Draft, kind: TransactionKind, job: Job, state: JobState, reason: Reason, attempt: Attempt, place: PlaceNote = {}): void {
   draft.note({
+    ...place,
     kind,
     account: job.specification.account,
     job: job.identifier,
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -1,10 +1,19 @@
 import { createHash } from 'node:crypto'
-import type { Guarantee, Section } from './document'
+import type { ClientAccount, Guarantee, Section, Shape } from './document'
 import type { JobState, Reason } from './job'
 import type { RecordHead } from './state'
 import type { TransactionKind } from './transaction'
 import type { Verdict } from './verdict'
 
+/** What the document promises to one account. */
+export interface AccountPromise {
+  readonly account: string
+  /** False where the account is closed. */
+  readonly open: boolean
+  readonly limits?: Pick<ClientAccount, 'share' | 'queuedJobs' | 'runningAccelerators'>
+  readonly guarantees: ReadonlyArray<Pick<Guarantee, 'shape' | 'count' | 'graceSeconds'>>
+}
+
 /** One thing that was decided, as it stands in the audit trail. */
 export interface RecordEvent {
   readonly kind: TransactionKind
@@ -17,6 +26,16 @@
   readonly reason?: Reason | string
   readonly verdict?: Verdict
   readonly workers?: readonly string[]
+  /** The accelerators on each of the workers: bit i set stands for accelerator i of the row. */
+  readonly masks?: readonly number[]
+  /** The place of a guaranteed shape that is held, found, moved or lost. */
+  readonly home?: string
+  /** Longest time until that place is given back, in seconds. */
+  readonly graceSeconds?: number
+  /** The attempt lies on accelerators that are promised to somebody. */
+  readonly borrowing?: boolean
+  /** What an accepted job asks for. */
+  readonly shape?: Pick<Shape, 'workers' | 'accelerators' | 'within'>
   readonly team?: string
   /** Identifier of the writer's request. */
   readonly request?: string
@@ -28,8 +47,8 @@
   readonly digestAfter?: string
   /** What a change of configuration did, one line each. */
   readonly consequences?: readonly string[]
-  /** All guarantees in force after a change of that section. */
-  readonly guarantees?: readonly Guarantee[]
+  /** What accounts are promised from this change on; only accounts whose promise changed. */
+  readonly promises?: readonly AccountPromise[]
   readonly message?: string
 }
 
--- /dev/null
+++ b/test/record-store.test.ts
@@ -0,0 +1,107 @@
+import { appendFileSync, mkdtempSync, readdirSync, readFileSync, rmSync, truncateSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import fc from 'fast-check'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { RecordStore } from '../src/control/recordstore'
+import { GENESIS_DIGEST, TransactionKind, verifyRecord, type RecordHead, type RecordLine } from '../src/core/index'
+import { chain } from '../src/core/record'
+
+let folder: string
+beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'bramleyflow-record-')) })
+afterEach(() => { rmSync(folder, { recursive: true }) })
+
+const all: RecordLine[] = []
+const heads: RecordHead[] = [{ sequence: 0, digest: GENESIS_DIGEST }]
+for (let at = 0; at < 200; at++) {
+  all.push(chain(heads[at]!, { kind: TransactionKind.AcceptJob, at, job: `job-${at}`, account: 'Hợp tác xã' }))
+  heads.push({ sequence: at + 1, digest: all[at]!.digest })
+}
+const texts = all.map((line) => line.text)
+const open = (keptBytes?: number) => RecordStore.open(folder, { segmentBytes: 2_000, keptBytes })._unsafeUnwrap()
+const segments = () => readdirSync(join(folder, 'record')).sort().map((name) => join(folder, 'record', name))
+
+test('lines come back in order from any place, also after a restart', () => {
+  const store = open()
+  store.append(all)
+  expect([...store.from(1)]).toEqual(texts)
+  store.close()
+  expect([...open().from(77)]).toEqual(texts.slice(76))
+  expect(segments().length).toBeGreaterThan(10)
+  expect(readFileSync(segments()[1]!, 'utf8').split('\n')[0]).toMatchSnapshot()
+})
+
+test('whatever was lost after the last sync comes again from the log, each line once', () => {
+  fc.assert(fc.property(fc.array(fc.record({ upTo: fc.nat(200), synced: fc.boolean(), torn: fc.nat(300) }), { minLength: 1, maxLength: 8 }), (restarts) => {
+    let covered = 0
+    for (const { upTo, synced, torn } of restarts) {
+      const store = open()
+      store.append(all.slice(covered, Math.max(covered, upTo)))
+      store.sync()
+      const held = [...store.from(1)].length
+      if (synced) covered = Math.max(covered, upTo)
+      store.close()
+      // A crash may lose what the last snapshot does not cover: cut inside the newest file, never before it.
+      const newest = segments().at(-1)
+      if (newest === undefined || synced || held <= covered) continue
+      const text = readFileSync(newest)
+      const first = Number(/(\d+)\.jsonl$/.exec(newest)![1])
+      const safe = first > covered ? 0 : Buffer.byteLength(text.toString().split('\n').slice(0, covered - first + 2).join('\n')) + 1
+      truncateSync(newest, Math.max(Math.min(safe, text.length), text.length - torn))
+    }
+    const store = open()
+    store.append(all.slice(covered))
+    expect([...store.from(1)]).toEqual(texts)
+    store.close()
+    rmSync(join(folder, 'record'), { recursive: true })
+  }), { seed: 11, numRuns: 40 })
+})
+
+test('old segments go, and the chain can still be checked from where it begins', () => {
+  const store = open(9_000)
+  store.append(all)
+  const kept = [...store.from(1)]
+  expect(kept.length).toBeLessThan(200)
+  expect(store.start).toEqual(heads[200 - kept.length])
+  expect(verifyRecord(kept, { after: store.start, head: store.head }).faults).toEqual([])
+  expect(verifyRecord(kept.slice(1), { after: store.start }).faults).toHaveLength(1)
+})
+
+test('a host restored from a snapshot says which lines it does not hold', () => {
+  const store = open()
+  store.append(all.slice(0, 50))
+  store.append(all.slice(120))
+  expect(store.gaps).toEqual([{ after: 50, before: 121 }])
+  expect(verifyRecord(store.from(1), { head: store.head }).faults.map((fault) => fault.text)).toMatchSnapshot()
+  store.close()
+  expect(open().gaps).toEqual([{ after: 50, before: 121 }])
+})
+
+test('a newest segment that is damaged is cut and comes again from the log, a changed sealed one is found in its export', () => {
+  const store = open()
+  store.append(all)
+  store.close()
+  appendFileSync(segments().at(-1)!, '{"sequence":201,"ki')
+  expect([...open().from(1)]).toEqual(texts)
+  const changed = segments().at(-1)!
+  writeFileSync(changed, readFileSync(changed, 'utf8').replace('job-', 'jab-'))
+  const cut = open()
+  expect(cut.cut).toMatchSnapshot()
+  cut.append(all)
+  expect([...cut.from(1)]).toEqual(texts)
+  cut.close()
+  const sealed = segments()[3]!
+  writeFileSync(sealed, readFileSync(sealed, 'utf8').replace('job-', 'jab-'))
+  const opened = open()
+  expect(verifyRecord(opened.from(1), { head: opened.head }).faults.map((fault) => fault.sequence)).toEqual([37])
+})
+
+test('a segment that was begun and holds no line is begun again', () => {
+  const store = open()
+  store.append(all.slice(0, 3))
+  store.close()
+  writeFileSync(join(folder, 'record', 'segment-000000000004.jsonl'), '{"segment":1,"fir')
+  const again = open()
+  again.append(all)
+  expect([...again.from(1)]).toEqual(texts)
+})
