--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -76,6 +76,7 @@
     const storage = new Storage(disk)
     try {
       const recovered = await storage.recover(makeIdentity)
+      if (recovered.isErr()) await storage.close()
       return recovered.map((found) => ({ storage, recovered: found }))
     } catch (error) {
       return err(failed('', error))
--- /dev/null
+++ b/test/agreement-process.ts
@@ -0,0 +1,43 @@
+/** One replica as a process of its own: puts numbers into the log and prints each one when it is committed. */
+import { Server, ServerCredentials } from '@grpc/grpc-js'
+import { Replica, Role } from '../src/control/replica'
+
+const PAUSE_MILLISECONDS = 2
+const [folder = '', address = '', bootstrap = ''] = process.argv.slice(2)
+const server = new Server()
+let values: string[] = []
+let made = 0
+
+const created = await Replica.create({
+  folder,
+  address,
+  bootstrap: bootstrap.split(','),
+  host: address,
+  server,
+  snapshotBytes: 20_000,
+  onCommit: (entries) => {
+    for (const entry of entries) if (entry.data.length > 0) take(Buffer.from(entry.data).toString())
+  },
+  onRestore: (snapshot) => { values = JSON.parse(Buffer.from(snapshot).toString()) as string[] },
+  takeSnapshot: () => Buffer.from(JSON.stringify(values)),
+  onRole: (role) => {
+    if (role !== Role.Leader) return
+    console.log(`leader ${values.join(' ')}`)
+    propose()
+  },
+  log: () => {}
+})
+const replica = created._unsafeUnwrap()
+
+function propose (): void {
+  replica.propose(Buffer.from(`${process.pid}-${++made}`))
+}
+
+function take (value: string): void {
+  values.push(value)
+  if (!value.startsWith(`${process.pid}-`)) return
+  console.log(`committed ${value}`)
+  setTimeout(propose, PAUSE_MILLISECONDS)
+}
+
+server.bindAsync(address, ServerCredentials.createInsecure(), () => { replica.start() })
