--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -58,7 +58,7 @@
 }
 
 async function putDocument (cluster: Cluster, document: object): Promise<void> {
-  const read = Object.keys(document).map((section) => ({ section, number: 0 }))
+  const read = Object.fromEntries(Object.keys(document).map((section) => [section, 0]))
   const body = { requestIdentifier: randomUUID(), read, sections: document }
   await until('the first document', async () => (await operate(cluster, 'PUT', '/configuration', body)).status === 200, 10_000)
 }
--- /dev/null
+++ b/scripts/schemas.mjs
@@ -0,0 +1,45 @@
+// Writes the published JSON schemas from their TypeBox source; with --check it only compares.
+import { build } from 'esbuild'
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { resolve } from 'node:path'
+import { pathToFileURL } from 'node:url'
+
+const bundle = 'dist/tools/schemas-source.mjs'
+await build({
+  stdin: {
+    contents: [
+      "export { settingsSchema as settings } from './src/settings/index'",
+      "export { documentSchema as document } from './src/core/document'",
+      "export { submissionSchema as submission } from './src/entry/job-request'"
+    ].join('\n'),
+    resolveDir: '.'
+  },
+  outfile: bundle,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  packages: 'external',
+  logLevel: 'warning'
+})
+const sources = await import(pathToFileURL(resolve(bundle)).href)
+mkdirSync('schemas', { recursive: true })
+let stale = 0
+for (const [name, schema] of Object.entries(sources)) {
+  const file = `schemas/${name}.json`
+  const text = `${JSON.stringify({ $schema: 'https://json-schema.org/draft/2020-12/schema', ...schema }, undefined, 2)}\n`
+  if (!process.argv.includes('--check')) writeFileSync(file, text)
+  else if (read(file) !== text) {
+    console.error(`${file} is not what npm run schemas writes`)
+    stale += 1
+  }
+}
+process.exitCode = stale > 0 ? 1 : 0
+
+function read (file) {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch {
+    return ''
+  }
+}
--- /dev/null
+++ b/src/command/job.ts
@@ -0,0 +1,184 @@
+import { randomUUID } from 'node:crypto'
+import { readFile } from 'node:fs/promises'
+import { Command, Option } from 'clipanion'
+import type { JobView } from '../entry/job-view'
+import type { EntryAnswer } from './entry-client'
+import { jsonOf } from './entry-client'
+import { EntryCommand, readJsonFile, table, UsageProblem, wholeNumber } from './entry-command'
+import { ExitCode } from './exit-code'
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+function jobLine ({ identifier, state, reason, message }: JobView): string {
+  return [identifier, state, reason, message].filter((part) => part !== '').join('  ')
+}
+
+function jobPath (identifier: string, rest = ''): string {
+  return `/jobs/${encodeURIComponent(identifier)}${rest}`
+}
+
+abstract class AnswerCommand extends EntryCommand {
+  output = Option.String('--output', { description: 'write the answer to this file' })
+
+  /** The answer's own bytes go out unchanged; 202 means that there is none yet. */
+  protected async useAnswer (answer: EntryAnswer): Promise<ExitCode> {
+    if (answer.status === 202) {
+      const view = jsonOf<JobView>(answer)
+      this.print(view, () => [jobLine(view)])
+      return ExitCode.Done
+    }
+    if (this.output === undefined) this.context.stdout.write(answer.body)
+    else await this.writeOutput(this.output, answer.body)
+    return ExitCode.Done
+  }
+
+  private async writeOutput (path: string, body: Buffer): Promise<void> {
+    const { writeFile } = await import('node:fs/promises')
+    await writeFile(path, body)
+  }
+}
+
+/** Submits a job. */
+export class JobSubmit extends AnswerCommand {
+  static override paths = [['job', 'submit']]
+  static override usage = Command.Usage({
+    category: 'Jobs',
+    description: 'submit a job',
+    details: `
+      The job comes from --file (the JSON of POST /jobs) or from the options. With --wait the answer is printed.
+      After exit code 3 the job may have run: ask by its identifier, which is printed; a resend with the same
+      --identifier never runs it twice.
+    `,
+    examples: [
+      ['One worker with two adjacent accelerators', '$0 job submit --accelerators 2 --payload \'{"milliseconds":100}\' --wait'],
+      ['A gang of four workers in one rack', '$0 job submit --workers 4 --accelerators 8 --within rack --payload-file plan.json']
+    ]
+  })
+
+  file = Option.String('--file', { description: 'the whole submission as JSON, - for standard input' })
+  identifier = Option.String('--identifier', { description: 'idempotency key; by default a new one' })
+  wait = Option.Boolean('--wait', false, { description: 'wait for the answer' })
+  kind = Option.String('--kind', { description: 'jobs of one kind share learned run times' })
+  workers = Option.String('--workers', { description: 'workers in the gang' })
+  accelerators = Option.String('--accelerators', { description: 'adjacent accelerators on each worker' })
+  slots = Option.String('--slots', { description: 'slots on each worker' })
+  processors = Option.String('--processors', { description: 'processors on each worker' })
+  memoryMegabytes = Option.String('--memory-megabytes', { description: 'memory on each worker' })
+  within = Option.String('--within', { description: 'worker, rack or data-centre' })
+  idempotent = Option.Boolean('--idempotent', { description: 'may run more than once' })
+  checkpointable = Option.Boolean('--checkpointable', { description: 'can be checkpointed, or stopped and run again' })
+  urgency = Option.String('--urgency', { description: 'urgent, normal or background' })
+  deadlineSeconds = Option.String('--deadline-seconds', { description: 'seconds from now after which it is not started' })
+  declaredSeconds = Option.String('--declared-seconds', { description: 'expected run time' })
+  payload = Option.String('--payload', { description: 'the body as text' })
+  payloadFile = Option.String('--payload-file', { description: 'the body from a file' })
+  contentType = Option.String('--content-type', { description: 'content type of the body' })
+
+  protected override async run (): Promise<ExitCode> {
+    const given = this.file === undefined ? await this.fromOptions() : await readJsonFile(this.file) as { identifier?: string }
+    const body = { ...given, identifier: this.identifier ?? given.identifier ?? randomUUID() }
+    const path = this.wait ? '/jobs?wait=true' : '/jobs'
+    const code = await this.ask({ method: 'POST', path, body, patient: this.wait }, (answer) => this.useAnswer(answer))
+    if (code === ExitCode.MayHaveRun) this.complain(`ask with: bramleyflow job show ${body.identifier}`)
+    return code
+  }
+
+  private async fromOptions (): Promise<{ identifier?: string }> {
+    const submission = {
+      kind: this.kind,
+      shape: this.shape(),
+      idempotent: this.idempotent,
+      checkpointable: this.checkpointable,
+      urgency: this.urgency,
+      deadline: this.deadline(),
+      declaredSeconds: wholeNumber('--declared-seconds', this.declaredSeconds),
+      payload: { contentType: this.contentType, base64: (await this.body()).toString('base64') }
+    }
+    return submission as { identifier?: string }
+  }
+
+  private shape (): object {
+    return {
+      workers: wholeNumber('--workers', this.workers),
+      accelerators: wholeNumber('--accelerators', this.accelerators) ?? 0,
+      slots: wholeNumber('--slots', this.slots),
+      processors: wholeNumber('--processors', this.processors),
+      memoryMegabytes: wholeNumber('--memory-megabytes', this.memoryMegabytes),
+      within: this.within
+    }
+  }
+
+  private deadline (): number | undefined {
+    const seconds = wholeNumber('--deadline-seconds', this.deadlineSeconds)
+    return seconds === undefined ? undefined : Date.now() + seconds * MILLISECONDS_PER_SECOND
+  }
+
+  private async body (): Promise<Buffer> {
+    if (this.payloadFile === undefined) return Buffer.from(this.payload ?? '{}')
+    try {
+      return await readFile(this.payloadFile)
+    } catch (error) {
+      throw new UsageProblem(`cannot read ${this.payloadFile}: ${(error as Error).message}`)
+    }
+  }
+}
+
+/** Lists jobs. */
+export class JobList extends EntryCommand {
+  static override paths = [['job', 'list']]
+  static override usage = Command.Usage({ category: 'Jobs', description: 'list jobs' })
+
+  state = Option.String('--state', { description: 'only in this state' })
+  limit = Option.String('--limit', { description: 'most jobs' })
+
+  protected override run (): Promise<ExitCode> {
+    const query = new URLSearchParams()
+    if (this.state !== undefined) query.set('state', this.state)
+    const limit = wholeNumber('--limit', this.limit)
+    if (limit !== undefined) query.set('limit', String(limit))
+    return this.show<{ jobs: JobView[] }>({ method: 'GET', path: `/jobs?${query}` }, ({ jobs }) => table([
+      ['IDENTIFIER', 'ACCOUNT', 'STATE', 'ATTEMPT', 'REASON', 'WORKERS'],
+      ...jobs.map(({ identifier, account, state, attempt, reason, workers }) => [identifier, account, state, attempt, reason, workers.join(',')])
+    ]))
+  }
+}
+
+/** Shows one job. */
+export class JobShow extends EntryCommand {
+  static override paths = [['job', 'show']]
+  static override usage = Command.Usage({ category: 'Jobs', description: 'show a job\'s state' })
+
+  identifier = Option.String({ name: 'IDENTIFIER' })
+
+  protected override run (): Promise<ExitCode> {
+    return this.show<JobView>({ method: 'GET', path: jobPath(this.identifier) }, (view) =>
+      Object.entries(view).map(([name, value]) => `${name}: ${Array.isArray(value) ? value.join(', ') : value}`))
+  }
+}
+
+/** Cancels jobs. */
+export class JobCancel extends EntryCommand {
+  static override paths = [['job', 'cancel']]
+  static override usage = Command.Usage({ category: 'Jobs', description: 'cancel jobs, all in one step' })
+
+  identifiers = Option.Rest({ name: 'IDENTIFIER', required: 1 })
+
+  protected override run (): Promise<ExitCode> {
+    const request = { method: 'POST' as const, path: '/jobs/cancel', body: { identifiers: this.identifiers } }
+    return this.show<{ jobs: JobView[] }>(request, ({ jobs }) => jobs.map(jobLine))
+  }
+}
+
+/** Fetches a job's answer. */
+export class JobAnswer extends AnswerCommand {
+  static override paths = [['job', 'answer']]
+  static override usage = Command.Usage({ category: 'Jobs', description: 'fetch the whole answer of a job' })
+
+  identifier = Option.String({ name: 'IDENTIFIER' })
+  wait = Option.Boolean('--wait', false, { description: 'wait for the job\'s end' })
+
+  protected override run (): Promise<ExitCode> {
+    const path = jobPath(this.identifier, this.wait ? '/answer?wait=true' : '/answer')
+    return this.ask({ method: 'GET', path, patient: this.wait }, (answer) => this.useAnswer(answer))
+  }
+}
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -299,7 +299,7 @@
     if (role === this.told.role && term === this.told.term) return
     this.told = { role, term }
     if (role !== Role.Leader) this.pending.abandonChanges(this.notLeader())
-    this.options.log('role', { role, term, leader: this.state.leader })
+    this.options.log('role-changed', { standing: role, term, leader: this.state.leader })
     this.options.onRole(role, term)
   }
 
--- a/src/entry/leader.ts
+++ b/src/entry/leader.ts
@@ -48,6 +48,7 @@
 /** Finds the control leader by asking any control host, and follows it when it moves. */
 export class Leader {
   private current: string | undefined
+  private confirmed: string | undefined
   private turn = 0
   private readonly streams = new Map<ClientReadableStream<unknown>, string>()
 
@@ -88,7 +89,8 @@
    * @param address - the leader
    */
   confirm (address: string): void {
-    if (this.current !== address) this.logger.info('leader-found', { leader: address })
+    if (this.confirmed !== address) this.logger.info('leader-found', { leader: address })
+    this.confirmed = address
     this.current = address
     for (const [stream, asked] of this.streams) {
       if (asked !== address) stream.cancel()
--- a/src/logging.ts
+++ b/src/logging.ts
@@ -1,7 +1,7 @@
 import loglevel, { type LogLevelDesc } from 'loglevel'
 
 /** What a log line says besides time, level, role and event: identifiers, numbers, reasons. */
-export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
+export type LogFields = Readonly<Record<string, unknown>>
 
 /** Writes one log line: an event, a short fixed name, and its fields. */
 export type WriteEvent = (event: string, fields?: LogFields) => void
@@ -15,8 +15,9 @@
 }
 
 function writeLine (level: string, role: string, event: string, fields: LogFields = {}): void {
-  const time = new Date().toISOString()
-  process.stdout.write(`${JSON.stringify({ time, level, role, event, ...fields })}\n`)
+  const head = { time: new Date().toISOString(), level, role, event }
+  // The head comes first, and no field of an event may take its place.
+  process.stdout.write(`${JSON.stringify({ ...head, ...fields, ...head })}\n`)
 }
 
 /**
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -2,6 +2,8 @@
   LogLevel, Role, settingsSchema,
   type AgentSettings, type ControlSettings, type EntrySettings, type Settings, type TlsSettings
 } from './schema'
-export { checkSettings, loadSettings, parseAddress, problemLines, type Address } from './load'
+export { parseAddress, type Address } from './address'
+export { checkSettings, loadSettings } from './load'
+export { problemLines } from './problem-lines'
 export { checkAgainst, findProblems, showValue } from '../core/problems'
 export { readTls, type TlsFiles } from './tls'
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -3,26 +3,11 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Problem } from '../core/verdict'
 import { checkAgainst, showValue } from '../core/problems'
+import { parseAddress } from './address'
 import { Role, settingsSchema, type Settings } from './schema'
 
 const HIGHEST_PORT = 65_535
 
-/** An IP number and a port. */
-export interface Address {
-  readonly ip: string
-  readonly port: number
-}
-
-/**
- * Splits an address of the settings.
- * @param text - such as 10.0.0.1:7000 or [::1]:7000
- * @returns IP number and port
- */
-export function parseAddress (text: string): Address {
-  const colon = text.lastIndexOf(':')
-  return { ip: text.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(text.slice(colon + 1)) }
-}
-
 function isAddress (text: string): boolean {
   const { ip, port } = parseAddress(text.replace(/^http:\/\//, ''))
   return isIP(ip) !== 0 && port <= HIGHEST_PORT
@@ -104,12 +89,3 @@
     return err([{ path: '', value: showValue(path), expected: `a readable file: ${(error as Error).message}` }])
   }
 }
-
-/**
- * Puts problems into lines for a person.
- * @param problems - the problems
- * @returns one line for each
- */
-export function problemLines (problems: readonly Problem[]): string[] {
-  return problems.map(({ path, value, expected }) => `${path || '/'}: found ${value}, expected ${expected}`)
-}
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -1,4 +1,5 @@
-import { expect, test } from 'vitest'
+import { expect, onTestFinished, test } from 'vitest'
+import { FakeControl, FakeLog } from './fake-entry-control'
 import { job, send, startControls, startEntry, until } from './entry-fixture'
 
 const hue = { token: 'hue-token' }
@@ -136,3 +137,15 @@
   expect((await send(entry, 'GET', '/audit', platform)).text).toBe('{"sequence":1}\n{"sequence":2}\n')
   expect((await send(entry, 'GET', '/metrics', platform)).text).toContain('bramleyflow_entry_configuration_number 2')
 })
+
+test('an entry that starts before any control host finds the leader once it is there', async () => {
+  const [first, second] = await startControls(2)
+  const [lateAddress, followerAddress] = [first!.address, second!.address]
+  first!.kill()
+  second!.kill()
+  const entry = await startEntry([lateAddress, followerAddress], { ready: false })
+  expect((await send(entry, 'POST', '/jobs', { ...hue, body: job() })).json).toMatchObject({ code: 'unavailable', verdict: 'not-run', retryCanHelp: true })
+  const late = await FakeControl.create(new FakeLog(), lateAddress)
+  onTestFinished(() => late.kill())
+  await until(async () => (await send(entry, 'GET', '/readyz')).status === 200)
+})
