--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -259,18 +259,19 @@
 
   private renewed (sequence: number): void {
     this.lease = renew(this.lease, sequence)
-    const remaining = actsAt(this.lease) - performance.now()
-    if (remaining <= 0) return
+    if (performance.now() >= actsAt(this.lease)) return
     if (!this.state.leased) this.dispatch({ kind: EventKind.LeaseGained })
-    clearTimeout(this.leaseTimer)
-    this.leaseTimer = setTimeout(() => { this.checkLease() }, remaining)
+    this.checkLease()
     const names = this.onPlatform().map(({ key }) => keyName(key))
     if (names.length > 0) this.platform.renew(names, this.leaseUntil())
   }
 
-  /** A process that was held up finds its lease over before its timer has run. */
+  /** A process that was held up finds its lease over before its timer has run; a timer may also run too early. */
   private checkLease (): void {
-    if (!this.state.leased || performance.now() < actsAt(this.lease)) return
+    if (!this.state.leased) return
+    const remaining = actsAt(this.lease) - performance.now()
+    clearTimeout(this.leaseTimer)
+    if (remaining > 0) { this.leaseTimer = setTimeout(() => { this.checkLease() }, Math.ceil(remaining)); return }
     this.log('lease-ended', { term: this.term })
     this.dispatch({ kind: EventKind.LeaseEnded, graceMilliseconds: this.lease.milliseconds * LEASE_MARGIN_SHARE / 2 })
   }
@@ -342,6 +343,7 @@
       return attempt?.phase === Phase.Stopping && attempt.report === undefined
     }
     if (await this.platform.checkpoint(key, wanted)) this.endedOnPlatform(key, StopMode.Checkpoint)
+    else if (!this.ended) this.dispatch({ kind: EventKind.GraceOver, key })
   }
 
   private async stopOnPlatform (key: AttemptKey): Promise<void> {
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -50,8 +50,8 @@
   readonly onPlatform: boolean
   /** A request to the target is open. */
   readonly atTarget: boolean
-  /** The payload was handed to the target at some time. */
-  readonly sent: boolean
+  /** An earlier process of this agent started it: whatever happens now, it may have run. */
+  readonly adopted: boolean
   readonly stopReason?: ReportReason
   /** Decided, and told to control until it is acknowledged; held back while a stop is being carried out. */
   readonly report?: Report
@@ -79,6 +79,11 @@
   readonly leaving: boolean
   readonly attempts: ReadonlyMap<string, Attempt>
   readonly leftovers: ReadonlyMap<string, Leftover>
+  /**
+   * Every attempt ever found at the platform without this incarnation having started it, the oldest first. Control may
+   * send its commands under the present incarnation, once it has heard that the platform shows it.
+   */
+  readonly inherited: readonly string[]
   /** Attempts that were never started here and never will be, the oldest first. */
   readonly refused: readonly string[]
   /** Attempts whose report control has, the oldest first. */
--- a/src/agent/attempts.ts
+++ b/src/agent/attempts.ts
@@ -26,7 +26,7 @@
  */
 export function initialAgentState (incarnation: string, capacity: Capacity): AgentState {
   return {
-    incarnation, capacity, leased: false, leaving: false, attempts: new Map(), leftovers: new Map(), refused: [], settled: []
+    incarnation, capacity, leased: false, leaving: false, attempts: new Map(), leftovers: new Map(), inherited: [], refused: [], settled: []
   }
 }
 
@@ -100,7 +100,7 @@
 
   [EventKind.PlatformShown]: (state, event) => {
     const shown = new Map(event.tasks.map((task) => [keyName(task.key), task]))
-    const known = { ...state, leftovers: leftoversOf(state, event.tasks) }
+    const known = inherit(state, leftoversOf(state, event.tasks))
     const died = event.expected.filter((name) => !shown.has(name)).map((name) => state.attempts.get(name))
       .filter((attempt): attempt is Attempt => attempt?.phase === Phase.Running && attempt.onPlatform)
     return each(known, died, (next, attempt) => {
@@ -143,12 +143,16 @@
   [EventKind.StopAll]: (state, event) => stopAll(state, event.reason, event.graceMilliseconds)
 }
 
-/** An order that names another incarnation is for a task that an earlier process of this agent started. */
+/**
+ * An order for an attempt that this incarnation does not hold. That it did not start can be said only where no earlier
+ * process of this agent can have started it: the order names this incarnation, and the platform never showed the task.
+ */
 function startUnknown (state: AgentState, event: Of<EventKind.Start>): Step {
   const name = keyName(event.key)
   if (state.settled.includes(name)) return still(state)
   const attempt = { ...newAttempt(event.key, Phase.Running, nothingTaken), order: event.order }
-  if (event.incarnation === state.incarnation || state.refused.includes(name)) {
+  const neverHere = event.incarnation === state.incarnation && !state.inherited.includes(name)
+  if (neverHere || state.refused.includes(name)) {
     return end(state, attempt, notStarted(ReportReason.NoReservation))
   }
   const leftover = state.leftovers.get(name)
@@ -163,7 +167,7 @@
   leftovers.delete(keyName(attempt.key))
   const adopted = { ...state, leftovers }
   if (event.order.lead && !event.order.idempotent) return end(adopted, attempt, restarted)
-  return run(adopted, attempt, event.order, event.now)
+  return run(adopted, { ...attempt, adopted: true }, event.order, event.now)
 }
 
 /** This incarnation never granted the attempt; an earlier one may have. */
@@ -209,7 +213,7 @@
   const payload = order.payload ?? { contentType: '', body: Buffer.alloc(0), digest: Buffer.alloc(0) }
   const { deadline, answerBytesLimit } = order
   return {
-    state: put(state, { ...running, atTarget: true, sent: true }),
+    state: put(state, { ...running, atTarget: true }),
     effects: [{ kind: EffectKind.SendToTarget, key: attempt.key, payload, deadline, answerBytesLimit }]
   }
 }
@@ -244,12 +248,12 @@
 
 function stopReport (attempt: Attempt, mode: StopMode): Report {
   const outcome = mode === StopMode.Checkpoint ? Outcome.Checkpointed : Outcome.Stopped
-  const mayHaveRun = attempt.sent || attempt.phase !== Phase.Reserved
-  return report(outcome, mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun, attempt.stopReason ?? ReportReason.StoppedByControl)
+  return report(outcome, Verdict.MayHaveRun, attempt.stopReason ?? ReportReason.StoppedByControl)
 }
 
 /** Brings a part to its end. What the platform still has is ended first, and only then reported. */
-function end (state: AgentState, attempt: Attempt, result: Report): Step {
+function end (state: AgentState, attempt: Attempt, found: Report): Step {
+  const result = attempt.adopted && found.verdict === Verdict.NotRun ? { ...found, verdict: Verdict.MayHaveRun } : found
   const abort: Effect[] = attempt.atTarget ? [{ kind: EffectKind.AbortTarget, key: attempt.key }] : []
   const closed = { ...attempt, atTarget: false }
   if (!attempt.onPlatform) {
@@ -287,6 +291,11 @@
   return attempt.report === undefined ? still(state) : { state, effects: [{ kind: EffectKind.Report, key: attempt.key, report: attempt.report }] }
 }
 
+function inherit (state: AgentState, leftovers: AgentState['leftovers']): AgentState {
+  const fresh = [...leftovers.keys()].filter((name) => !state.inherited.includes(name))
+  return { ...state, leftovers, inherited: fresh.reduce(remember, state.inherited) }
+}
+
 function leftoversOf (state: AgentState, tasks: readonly Leftover[]): ReadonlyMap<string, Leftover> {
   const unknown = tasks.filter(({ key }) => {
     const name = keyName(key)
@@ -296,7 +305,7 @@
 }
 
 function newAttempt (key: AttemptKey, phase: Phase, resources: Resources): Attempt {
-  return { key, phase, resources, onPlatform: false, atTarget: false, sent: false, acknowledged: false }
+  return { key, phase, resources, onPlatform: false, atTarget: false, adopted: false, acknowledged: false }
 }
 
 function find (state: AgentState, key: AttemptKey): Attempt | undefined {
--- a/src/agent/platform.ts
+++ b/src/agent/platform.ts
@@ -87,7 +87,7 @@
    * Checkpoints a task and ends it.
    * @param key - the attempt
    * @param wanted - tells before each try whether the checkpoint is still wanted
-   * @returns true once confirmed
+   * @returns true once confirmed, false where it can not be had or is no longer wanted
    */
   async checkpoint (key: AttemptKey, wanted: () => boolean): Promise<boolean> {
     return await this.insist(key, 'checkpoint', wanted)
@@ -134,6 +134,7 @@
     while (!this.closed && wanted()) {
       const answer = await this.call('POST', `${taskPath(key)}/${action}`, {})
       if (answer.isOk() && answer.value.status < 300) return true
+      if (answer.isOk() && answer.value.status < 500 && action === 'checkpoint') return false
       await backoff.pause()
     }
     return false
--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -49,7 +49,7 @@
   /** Every task that ran, in the order of its end; those still running are last. */
   private readonly past: TaskRecord[] = []
   private readonly running = new Map<string, Task>()
-  private readonly ended = new Set<string>()
+  private readonly ended = new Map<string, TaskEnd>()
   /** Starts that were refused because an accelerator was taken. */
   conflicts = 0
   private server!: FaultyServer
@@ -127,11 +127,18 @@
   }
 
   /** @internal */
-  end (key: string, end: TaskEnd): Reply {
-    this.finish(key, end)
+  stop (key: string): Reply {
+    this.finish(key, TaskEnd.Stopped)
     return json(200, { state: 'ended' })
   }
 
+  /** @internal */
+  checkpoint (key: string): Reply {
+    if (this.running.has(key)) this.finish(key, TaskEnd.Checkpointed)
+    const end = this.ended.get(key)
+    return end === TaskEnd.Checkpointed ? json(200, { state: 'ended' }) : json(410, { reason: end })
+  }
+
   /** @internal */
   renew (keys: readonly string[], leaseUntil: number): Reply {
     for (const key of keys) {
@@ -160,7 +167,7 @@
   private finish (key: string, end: TaskEnd): void {
     const task = this.running.get(key)
     this.running.delete(key)
-    this.ended.add(key)
+    if (task !== undefined || !this.ended.has(key)) this.ended.set(key, end)
     if (this.ended.size > REMEMBERED_NAMES) this.ended.delete([...this.ended.keys()][0] ?? '')
     if (task === undefined) return
     clearTimeout(task.timer)
@@ -178,8 +185,8 @@
   'GET tasks': (platform) => platform.list(),
   'GET usage': (platform) => platform.usage(),
   'GET ran': (platform) => json(200, platform.records),
-  'POST tasks/KEY/stop': (platform, key) => platform.end(key, TaskEnd.Stopped),
-  'POST tasks/KEY/checkpoint': (platform, key) => platform.end(key, TaskEnd.Checkpointed),
+  'POST tasks/KEY/stop': (platform, key) => platform.stop(key),
+  'POST tasks/KEY/checkpoint': (platform, key) => platform.checkpoint(key),
   'POST tasks/KEY/throttle': () => json(200, { state: 'throttled' }),
   'POST renewals': (platform, _key, body) => {
     const { keys, leaseUntil } = JSON.parse(body.toString()) as { keys: string[], leaseUntil: number }
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -17,7 +17,7 @@
   HalfBody = 'half-body',
   /** Does the work and answers later. */
   Late = 'late',
-  /** Does the work and sends the same answer two times on one connection. */
+  /** Does the work and sends the same answer two times on one connection, the second time later. */
   Twice = 'twice',
   /** Does the work and changes one byte of the answer. */
   WrongByte = 'wrong-byte'
@@ -28,7 +28,9 @@
   readonly fault: Fault
   /** Requests that it strikes; all where not given. */
   readonly count?: number
-  /** For {@link Fault.Late}. */
+  /** Strikes only requests with this method. */
+  readonly method?: string
+  /** For {@link Fault.Late} and {@link Fault.Twice}. */
   readonly milliseconds?: number
 }
 
@@ -100,7 +102,7 @@
   private async take (request: IncomingMessage, response: ServerResponse, handler: RequestHandler): Promise<void> {
     const { method = 'GET', url: path = '/', headers } = request
     const settingFault = path === '/faults'
-    const order = settingFault || method === 'GET' ? { fault: Fault.None } : this.draw()
+    const order = settingFault || method === 'GET' ? { fault: Fault.None } : this.draw(method)
     if (order.fault === Fault.Refuse) { request.socket.destroy(); return }
     const gone = new Promise<void>((resolve) => { response.once('close', resolve) })
     try {
@@ -116,7 +118,8 @@
     }
   }
 
-  private draw (): FaultOrder {
+  private draw (method: string): FaultOrder {
+    if ((this.order.method ?? method) !== method) return { fault: Fault.None }
     if (this.struck++ < (this.order.count ?? Infinity)) return this.order
     return { fault: Fault.None }
   }
@@ -137,11 +140,13 @@
     await new Promise((resolve) => { setTimeout(resolve, order.milliseconds ?? 0) })
     sendWhole(response, reply)
   },
-  [Fault.Twice]: (response, reply) => {
+  [Fault.Twice]: async (response, reply, order) => {
+    const { socket } = response
     const fields = Object.entries(reply.headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-    const head = Buffer.from(`HTTP/1.1 ${reply.status} OK\r\n${fields}\r\n`)
-    const whole = Buffer.concat([head, reply.body])
-    response.socket?.write(Buffer.concat([whole, whole]))
+    const again = Buffer.concat([Buffer.from(`HTTP/1.1 ${reply.status} OK\r\n${fields}\r\n`), reply.body])
+    sendWhole(response, reply)
+    await new Promise((resolve) => { setTimeout(resolve, order.milliseconds ?? 0) })
+    socket?.write(again)
   },
   [Fault.WrongByte]: (response, reply) => {
     const body = Buffer.from(reply.body)
