Free slots and connections with the answer, accelerators with the platform's word

Cause: after a finished attempt the worker refused the next one until the platform had confirmed the end of the task, though the target was free. Change: slots and connections are counted while the attempt is open, the mask until the platform has confirmed. The doubled answer of the target stand-in now comes with the next request on the connection, so that the test of it has one order.

--- a/src/agent/limits.ts
+++ b/src/agent/limits.ts
@@ -7,20 +7,23 @@
  * @returns true until nothing of it runs at the platform or the target any more
  */
 export function occupies (attempt: Attempt): boolean {
-  return attempt.phase !== Phase.Ended || attempt.onPlatform || attempt.atTarget
+  return attempt.phase !== Phase.Ended || attempt.onPlatform
 }
 
 /**
- * Adds up what is taken, by attempts of this incarnation and by tasks that only the platform knows.
+ * Adds up what is taken, by attempts of this incarnation and by tasks that only the platform knows. Slots and connections
+ * are the target's and free with the whole answer; accelerators only once the platform has ended the task.
  * @param state - what the agent knows
  * @returns the taken accelerators as a mask, the slots and the connections
  */
 export function taken (state: AgentState): { mask: number, slots: number, connections: number } {
-  const holders = [...[...state.attempts.values()].filter(occupies), ...state.leftovers.values()]
+  const attempts = [...state.attempts.values()]
+  const atPlatform = [...attempts.filter(occupies), ...state.leftovers.values()]
+  const atTarget = [...attempts.filter(({ phase }) => phase !== Phase.Ended), ...state.leftovers.values()]
   return {
-    mask: holders.reduce((mask, holder) => mask | holder.resources.mask, 0),
-    slots: holders.reduce((slots, holder) => slots + holder.resources.slots, 0),
-    connections: holders.length
+    mask: atPlatform.reduce((mask, holder) => mask | holder.resources.mask, 0),
+    slots: atTarget.reduce((slots, holder) => slots + holder.resources.slots, 0),
+    connections: atTarget.length
   }
 }
 
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 /** The only address that stand-ins listen on. */
 const LOOPBACK = '127.0.0.1'
@@ -17,7 +17,7 @@
   HalfBody = 'half-body',
   /** Does the work and answers later. */
   Late = 'late',
-  /** Does the work and sends the same answer two times on one connection, the second time later. */
+  /** Does the work and sends the same answer two times, the second time when the next request comes on the connection. */
   Twice = 'twice',
   /** Does the work and changes one byte of the answer. */
   WrongByte = 'wrong-byte'
@@ -30,7 +30,7 @@
   readonly count?: number
   /** Strikes only requests with this method. */
   readonly method?: string
-  /** For {@link Fault.Late} and {@link Fault.Twice}. */
+  /** For {@link Fault.Late}. */
   readonly milliseconds?: number
 }
 
@@ -104,6 +104,7 @@
     const settingFault = path === '/faults'
     const order = settingFault || method === 'GET' ? { fault: Fault.None } : this.draw(method)
     if (order.fault === Fault.Refuse) { request.socket.destroy(); return }
+    repeatAnswer(request.socket)
     const gone = new Promise<void>((resolve) => { response.once('close', resolve) })
     try {
       const chunks: Buffer[] = []
@@ -125,6 +126,9 @@
   }
 }
 
+/** Answers to be sent a second time, by connection. */
+const answersToRepeat = new WeakMap<Socket, Buffer>()
+
 type Sender = (response: ServerResponse, reply: Reply, order: FaultOrder) => Promise<void> | void
 
 const senders: Readonly<Record<Fault, Sender>> = {
@@ -140,13 +144,11 @@
     await new Promise((resolve) => { setTimeout(resolve, order.milliseconds ?? 0) })
     sendWhole(response, reply)
   },
-  [Fault.Twice]: async (response, reply, order) => {
-    const { socket } = response
+  [Fault.Twice]: (response, reply) => {
     const fields = Object.entries(reply.headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
     const again = Buffer.concat([Buffer.from(`HTTP/1.1 ${reply.status} OK\r\n${fields}\r\n`), reply.body])
+    if (response.socket !== null) answersToRepeat.set(response.socket, again)
     sendWhole(response, reply)
-    await new Promise((resolve) => { setTimeout(resolve, order.milliseconds ?? 0) })
-    socket?.write(again)
   },
   [Fault.WrongByte]: (response, reply) => {
     const body = Buffer.from(reply.body)
@@ -155,6 +157,12 @@
   }
 }
 
+function repeatAnswer (socket: Socket): void {
+  const again = answersToRepeat.get(socket)
+  answersToRepeat.delete(socket)
+  if (again !== undefined) socket.write(again)
+}
+
 function sendWhole (response: ServerResponse, reply: Reply): void {
   response.writeHead(reply.status, reply.headers).end(reply.body)
 }
