--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -132,6 +132,8 @@
   /** Memory that the next attempt gets, while one that needed more is on its way out. */
   readonly pendingMemory?: number
   readonly cancelRequested: boolean
+  /** Set once an attempt is over that may have run. */
+  readonly mayHaveRun?: boolean
   readonly end?: JobEnd
 }
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -270,7 +270,8 @@
 
 /** All members are out: the job ends, or goes back to its queue as a whole. */
 function concludeAttempt (draft: Draft, job: RunningJob, reason: Reason): void {
-  const { attempt, ...rest } = job
+  const { attempt, ...before } = job
+  const rest = attempt.mayHaveRun === true ? { ...before, mayHaveRun: true } : before
   if (hasEnded(job)) { draft.setJob({ ...rest }); return }
   const verdict = attempt.mayHaveRun === true ? Verdict.MayHaveRun : Verdict.NotRun
   const { attemptsPerJob } = draft.configuration.document.limits
@@ -348,7 +349,7 @@
   }
   if (isRunning(job)) tellMembers(draft, job.identifier, job.attempt, EffectKind.Release)
   const { attempt: _, ...rest } = job
-  end(draft, rest, JobState.Cancelled, Verdict.NotRun, reason, 'cancelled before it ran')
+  end(draft, rest, JobState.Cancelled, Verdict.NotRun, reason, job.mayHaveRun === true ? `cancelled while it waited after attempt ${job.attempts}` : 'cancelled before it ran')
 }
 
 /**
@@ -373,7 +374,7 @@
  */
 export function refuse (draft: Draft, transaction: Refuse): Outcome {
   const { account, code, count, message } = transaction
-  draft.note({ kind: transaction.kind, account, reason: code, verdict: Verdict.NotRun, message: `${count} refused: ${message}` })
+  draft.note({ kind: transaction.kind, account, reason: code, verdict: Verdict.NotRun, count, message: `${count} refused: ${message}` })
   return ok(undefined)
 }
 
@@ -411,7 +412,9 @@
   return job !== undefined && isRunning(job) && job.state === state && job.attempt.number === key.attempt ? job : undefined
 }
 
-function end (draft: Draft, job: Job, state: JobState, verdict: Verdict, reason: Reason, message: string, answer?: Content): void {
+/** Not run is said only where no attempt at all may have run. */
+function end (draft: Draft, job: Job, state: JobState, lastVerdict: Verdict, reason: Reason, message: string, answer?: Content): void {
+  const verdict = lastVerdict === Verdict.NotRun && job.mayHaveRun === true ? Verdict.MayHaveRun : lastVerdict
   draft.setJob({ ...job, state, end: { verdict, reason, message, at: draft.at, answer } })
   if (job.declared) draft.markSpent(job.identifier)
   draft.note({
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -49,6 +49,8 @@
   readonly consequences?: readonly string[]
   /** What accounts are promised from this change on; only accounts whose promise changed. */
   readonly promises?: readonly AccountPromise[]
+  /** How many requests a counted refusal stands for. */
+  readonly count?: number
   readonly message?: string
 }
 
