--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -77,7 +77,7 @@
 
 /** Asks an entry as an operator. */
 export async function operate (cluster: Cluster, method: 'GET' | 'PUT' | 'POST', path: string, body?: object): Promise<{ readonly status: number, readonly body: any }> {
-  const headers = { authorization: `Bearer ${OPERATOR_TOKEN}`, 'content-type': 'application/json' }
+  const headers = { authorization: `Bearer ${OPERATOR_TOKEN}`, ...body && { 'content-type': 'application/json' } }
   const reply = await request(`http://${cluster.entries[0]?.address ?? ''}${path}`, { method, headers, body: body && JSON.stringify(body) })
   const text = await reply.body.text()
   return { status: reply.statusCode, body: text === '' ? undefined : JSON.parse(text) }
--- a/demo/cluster.ts
+++ b/demo/cluster.ts
@@ -18,6 +18,8 @@
 export interface DemoProcess {
   readonly name: string
   readonly address: string
+  /** Where a control host serves its metrics. */
+  readonly metrics?: string
   child: ChildProcess
 }
 
@@ -37,15 +39,25 @@
   return createHash('sha256').update(token).digest('hex')
 }
 
+/** Ports below those that the system hands out by itself, so that no other program gets one between the look and the use. */
+const PORTS = { first: 10_000, count: 20_000 }
+
 /** @returns ports that were free a moment ago. */
 async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+  const free = new Set<number>()
+  while (free.size < count) {
+    const port = PORTS.first + Math.floor(Math.random() * PORTS.count)
+    if (await isFree(port)) free.add(port)
+  }
+  return [...free]
+}
+
+function isFree (port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer()
-    server.listen(0, '127.0.0.1', () => { resolve(server) })
-  })))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
 }
 
 /** The processes and stand-ins of the demo on the loopback address. */
@@ -60,13 +72,15 @@
   /** @returns a running cluster of 3 control processes, 2 entries and 10 agents with stand-ins. */
   static async create (): Promise<Cluster> {
     const cluster = new Cluster()
-    const addresses = (await freePorts(5)).map((port) => `127.0.0.1:${port}`)
+    const addresses = (await freePorts(8)).map((port) => `127.0.0.1:${port}`)
     const voters = addresses.slice(0, 3)
     voters.forEach((address, position) => {
       const folder = join(cluster.folder, `data-${position}`)
-      cluster.controls.push(cluster.launch(`control-${position}`, address, { roles: ['control'], control: { address, folder, voters } }, position))
+      const metrics = addresses[5 + position]
+      const control = { address, folder, voters, metrics }
+      cluster.controls.push({ ...cluster.launch(`control-${position}`, address, { roles: ['control'], control }, position), metrics })
     })
-    addresses.slice(3).forEach((address, position) => {
+    addresses.slice(3, 5).forEach((address, position) => {
       const entry = { address, bootstrapTokenDigest: tokenDigest(OPERATOR_TOKEN) }
       cluster.entries.push(cluster.launch(`entry-${position}`, address, { roles: ['entry'], controlHosts: voters, entry }, position))
     })
@@ -85,10 +99,10 @@
     await Promise.all([worker.platform.close(), worker.target.close()])
   }
 
-  /** Stops everything gracefully and removes the data. */
+  /** Stops everything gracefully, callers' side first, so that the last reports still find a leader; removes the data. */
   async stop (): Promise<void> {
-    const children = [...this.entries.map((one) => one.child), ...this.workers.map((one) => one.agent), ...this.controls.map((one) => one.child)]
-    await Promise.all(children.map((child) => stopChild(child)))
+    const children = [this.entries.map((one) => one.child), this.workers.map((one) => one.agent), this.controls.map((one) => one.child)]
+    for (const group of children) await Promise.all(group.map((child) => stopChild(child)))
     await Promise.all(this.workers.flatMap((worker) => [worker.platform.close(), worker.target.close()]))
     if (process.env.BRAMLEYFLOW_DEMO_KEEP === undefined) rmSync(this.folder, { recursive: true, force: true })
     else console.log(`kept ${this.folder}`)
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -49,7 +49,7 @@
   return {
     identifier: `job-${position}`,
     account,
-    workers: gang ? 2 + position % 3 : 1,
+    workers: gang ? 2 + (position / 10) % 2 : 1,
     accelerators: gang ? 4 : portrait ? 1 + position % 4 : 0,
     idempotent: position % 2 === 0,
     milliseconds: gang ? 600 : 50 + (position * 37) % 300,
@@ -170,10 +170,12 @@
 async function judgeDrain (cluster: Cluster, accounts: readonly string[]): Promise<void> {
   const before = (await operate(cluster, 'GET', '/configuration')).body
   const began = Date.now()
-  await operate(cluster, 'POST', '/workers/worker-1/drain')
+  const drain = await operate(cluster, 'POST', '/workers/worker-1/drain')
+  if (drain.status !== 200) console.log(`drain: ${drain.status} ${JSON.stringify(drain.body)}`)
   const inForce = await until('the change in force everywhere', async () => {
     const { body } = await operate(cluster, 'GET', '/configuration/status')
-    return body.configuration > before.number && body.laggards.length === 0
+
+    return body.number > before.number && body.laggards.length === 0
   }, CONFIGURATION_MILLISECONDS * 2)
   count('an accepted configuration is in force everywhere within seconds', `after ${inForce} ms at ${WORKERS - 1} agents and 2 entries`, inForce <= CONFIGURATION_MILLISECONDS)
   await sleep(Math.max(0, began + LEAVING_MILLISECONDS - Date.now()))
@@ -206,6 +208,7 @@
     const { controls, entries, workers } = cluster
     const children = [...controls.map((one) => one.child), ...entries.map((one) => one.child), ...workers.map((one) => one.agent)]
     const graceful = children.filter((child) => child.exitCode === 0).length
+    for (const child of children) if (child.exitCode !== 0) console.log(`  ${child.spawnargs.at(-1)?.split('/').at(-1)} ended with ${child.exitCode ?? child.signalCode}`)
     count('every planned stop is graceful', `${graceful} of ${children.length - 2} processes ended by themselves with 0, in ${Date.now() - stopping} ms`, graceful === children.length - 2)
   }
   for (const { promise, counted, kept } of promises) console.log(`${kept ? 'kept  ' : 'BROKEN'} ${promise}: ${counted}`)
