--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -34,9 +34,9 @@
 async function startControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { ControlHost } = await import('../control/index')
   const { mutualCredentials } = await import('./credentials')
-  const { address, folder, voters } = section(settings, Role.Control)
+  const { address, folder, voters, metrics: metricsAddress } = section(settings, Role.Control)
   const log = logTo(createLogger(Role.Control, settings.logLevel))
-  const created = await ControlHost.create({ host: settings.host, address, folder, voters, log, ...mutualCredentials(tls) })
+  const created = await ControlHost.create({ host: settings.host, address, folder, voters, metricsAddress, log, ...mutualCredentials(tls) })
   if (created.isErr()) throw created.error
   const host = created.value
   host.start()
--- a/src/entry/job-follower.ts
+++ b/src/entry/job-follower.ts
@@ -24,7 +24,7 @@
 
 /** What a {@link JobFollower} works with. */
 export interface JobFollowerParts {
-  readonly leader: Leader
+  readonly leader: Pick<Leader, 'stream'>
   /** Aborted with a {@link StopReason}. */
   readonly signal: AbortSignal
   /** Called with each report. */
@@ -56,7 +56,7 @@
     const giveUpAt = Date.now() + ACCEPT_MILLISECONDS
     let sent = false
     for (const pause of this.pauses()) {
-      const outcome = await this.readUntil(this.parts.leader.stream(ControlService.submit, { job, wait }, this.parts.signal), !wait)
+      const outcome = await this.readUntil(job.identifier, this.parts.leader.stream(ControlService.submit, { job, wait }, this.parts.signal), !wait)
       if (outcome.last !== undefined) return this.goOn(outcome.last, wait, { identifier: job.identifier, account: job.account })
       if (outcome.refusal !== undefined) return err(this.truthful(readRefusal(outcome.refusal), sent))
       sent ||= outcome.broken?.sent ?? true
@@ -78,7 +78,7 @@
     let newest: JobReport | undefined
     let damaged = 0
     for (const pause of this.pauses()) {
-      const outcome = await this.readUntil(this.parts.leader.stream(ControlService.await, query, this.parts.signal), false)
+      const outcome = await this.readUntil(query.identifier, this.parts.leader.stream(ControlService.await, query, this.parts.signal), false)
       newest = outcome.last ?? newest
       if (outcome.refusal !== undefined) return err(readRefusal(outcome.refusal))
       if (newest !== undefined && isEnded(newest)) {
@@ -107,11 +107,13 @@
       : refusal
   }
 
-  private async readUntil (reports: AsyncGenerator<JobReport, void>, onlyFirst: boolean): Promise<ReadOutcome> {
+  /** Only reports on the job that was asked for count; any other ends the try. */
+  private async readUntil (identifier: string, reports: AsyncGenerator<JobReport, void>, onlyFirst: boolean): Promise<ReadOutcome> {
     let last: JobReport | undefined
     try {
       for await (const report of reports) {
         if (report.refusal !== undefined) return { refusal: report.refusal }
+        if (report.identifier !== identifier) return { last, broken: new BrokenCall('a report on another job', true) }
         last = report
         this.parts.onReport?.(report)
         if (onlyFirst || isEnded(report)) return { last }
--- a/src/entry/job-service.ts
+++ b/src/entry/job-service.ts
@@ -90,10 +90,11 @@
    * Cancels jobs, all in one entry of the log.
    * @param account - whose jobs, empty for operators
    * @param identifiers - the jobs
-   * @returns their views; throws the refusal
+   * @returns the views of those that are known; throws the refusal
    */
   async cancel (account: string, identifiers: string[]): Promise<JobView[]> {
-    return accepted(await this.leader.call(ControlService.cancel, { account, identifiers }, CallKind.Repeatable)).jobs.map(viewOf)
+    const { jobs } = accepted(await this.leader.call(ControlService.cancel, { account, identifiers }, CallKind.Repeatable))
+    return jobs.filter(({ refusal }) => refusal === undefined).map(viewOf)
   }
 
   private follower ({ signal, onReport }: FollowOptions): JobFollower {
--- a/test/fake-entry-control.ts
+++ b/test/fake-entry-control.ts
@@ -65,6 +65,9 @@
   breakSubmit?: 'before-accept' | 'after-accept'
   refuseSubmit?: Refusal
   validMilliseconds: number
+  /** Breaks the next change of members after it was made. */
+  breakMembers?: boolean
+  memberChanges: number
   submits: number
   awaits: number
 }
@@ -76,7 +79,7 @@
   address = ''
   /** Address of the leader; this host leads where it is its own. */
   leader = ''
-  readonly behaviour: FakeBehaviour = { validMilliseconds: 5_000, submits: 0, awaits: 0 }
+  readonly behaviour: FakeBehaviour = { validMilliseconds: 5_000, submits: 0, awaits: 0, memberChanges: 0 }
   readonly inForce: number[] = []
   private readonly server = new Server()
   private readonly followers = new Set<ServerDuplexStream<EntryMessage, ConfigurationUpdate>>()
@@ -154,7 +157,7 @@
     this.behaviour.breakSubmit = undefined
     if (breakSubmit !== 'before-accept') this.log.accept(job)
     if (breakSubmit !== undefined) {
-      stream.destroy(Object.assign(new Error('broken'), { code: 14, details: 'broken' }))
+      stream.emit('error', { code: 14, details: 'broken' })
       return
     }
     if (wait) {
@@ -204,7 +207,7 @@
         for (const identifier of identifiers) {
           if (this.log.jobs.has(identifier)) this.log.move(identifier, { state: 'cancelled', reason: 'cancelled-by-caller', verdict: Verdict.NOT_RUN, endedAt: 3_000 })
         }
-        return { refusal: this.refusal(), jobs: identifiers.flatMap((identifier) => this.log.jobs.get(identifier)?.report ?? []) }
+        return { refusal: this.refusal(), jobs: identifiers.map((identifier) => this.log.jobs.get(identifier)?.report ?? JobReport.fromPartial({ identifier, refusal: refusalOf('not-found') })) }
       }),
       putConfiguration: unary((request) => {
         if (this.refusal() !== undefined) return configuration()
@@ -233,7 +236,11 @@
         viewJson: JSON.stringify({ workers: [{ name: 'worker-1', rack: 'r1' }] }),
         followers: this.followers.size
       })),
-      changeMembers: unary(() => ({ refusal: this.refusal(), members: [] })),
+      changeMembers: (call, callback) => {
+        this.behaviour.memberChanges += 1
+        if (this.behaviour.breakMembers) callback({ code: 14, details: 'broken' })
+        else callback(null, { refusal: this.refusal(), members: [] })
+      },
       exportRecord: (stream) => {
         stream.write({ refusal: this.refusal(), lines: ['{"sequence":1}', '{"sequence":2}'] })
         stream.end()
