--- a/src/control/followers.ts
+++ b/src/control/followers.ts
@@ -1,5 +1,5 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
-import type { Section, State } from '../core/index'
+import { sections as allSections, type Section, type State } from '../core/index'
 import * as wire from '../wire/index'
 
 /** A stream to an entry, from this side. */
@@ -64,7 +64,7 @@
 
   private update (changed: readonly Section[], whole: boolean): wire.ConfigurationUpdate {
     const { number, document, sectionNumbers } = this.committed().configuration
-    const sections = changed.map((section) => ({ section, number: sectionNumbers.get(section) ?? 0 }))
+    const sections = allSections.map((section) => ({ section, number: sectionNumbers.get(section) ?? 0 }))
     const content = Object.fromEntries(changed.map((section) => [section, document[section]]))
     return {
       term: this.term(),
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -16,6 +16,7 @@
 export { canonicalDigest } from './canonical'
 export { answerOf, documentDigest, putKey, requestDigest, storedAnswer, teamMayWrite, type PutAnswer, type PutRequest } from './configuration'
 export { checkPut, MOST_PUT_BYTES, type CheckedPut } from './configuration-check'
+export { ConfigurationCopy, UpdateOutcome, type CopyUpdate } from './configuration-copy'
 export { ConsequenceKind, consequenceLines, consequences, type Consequence } from './consequences'
 export { promiseTo } from './promises'
 export { checkAgainst, findProblems, showValue } from './problems'
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { notRun, RefusalCode, type Refusal } from '../core/verdict'
 import { PrincipalKind, type Access, type Caller, type Operator, type Principal } from './access'
-import type { ConfigurationCopy } from './configuration-copy'
+import type { ConfigurationCopy } from '../core/configuration-copy'
 import type { FairGate } from './fair-gate'
 import type { EntryMetrics } from './metrics'
 import type { OpenRequests } from './open-requests'
--- a/src/entry/configuration-controller.ts
+++ b/src/entry/configuration-controller.ts
@@ -6,7 +6,7 @@
 import { checkAgainst } from '../settings/index'
 import type { PutConfigurationRequest } from '../wire/index'
 import { operatorOf } from './admission'
-import { ConfigurationCopy } from './configuration-copy'
+import { ConfigurationCopy } from '../core/configuration-copy'
 import { OperatorService, type ConfigurationView } from './operator-service'
 import { RefusalError } from './refusal-answer'
 
--- a/src/entry/configuration-follower.ts
+++ b/src/entry/configuration-follower.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../logging'
 import { ControlService, type ConfigurationUpdate, type EntryMessage } from '../wire/index'
 import type { Channels } from './channels'
-import { UpdateOutcome, type ConfigurationCopy } from './configuration-copy'
+import { UpdateOutcome, type ConfigurationCopy } from '../core/configuration-copy'
 import { jittered, sleep, type Leader } from './leader'
 
 const STREAM_MILLISECONDS = 600_000
@@ -78,8 +78,9 @@
       return
     }
     const before = copy.number
-    if (copy.take(update, Date.now()) === UpdateOutcome.Stale) {
-      logger.warn('configuration-stale', { leader: address, number: update.number, inForce: copy.number })
+    const outcome = copy.take(update, Date.now())
+    if (outcome !== UpdateOutcome.InForce) {
+      logger.warn('configuration-not-taken', { outcome, leader: address, number: update.number, inForce: copy.number })
       this.stream?.cancel()
       return
     }
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -7,7 +7,7 @@
 import { Access } from './access'
 import { addAdmission } from './admission'
 import { Channels } from './channels'
-import { ConfigurationCopy } from './configuration-copy'
+import { ConfigurationCopy } from '../core/configuration-copy'
 import { ConfigurationFollower } from './configuration-follower'
 import { EntryModule } from './entry-module'
 import { FairGate } from './fair-gate'
--- a/src/entry/entry-module.ts
+++ b/src/entry/entry-module.ts
@@ -1,6 +1,6 @@
 import { Module, type DynamicModule } from '@nestjs/common'
 import { ConfigurationController } from './configuration-controller'
-import { ConfigurationCopy } from './configuration-copy'
+import { ConfigurationCopy } from '../core/configuration-copy'
 import { FairGate } from './fair-gate'
 import { HealthController } from './health-controller'
 import { JobController } from './job-controller'
--- a/src/entry/health-controller.ts
+++ b/src/entry/health-controller.ts
@@ -1,7 +1,7 @@
 import { Controller, Get, Inject, Req, Res } from '@nestjs/common'
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import { operatorOf } from './admission'
-import { ConfigurationCopy } from './configuration-copy'
+import { ConfigurationCopy } from '../core/configuration-copy'
 import { EntryMetrics } from './metrics'
 import { OpenRequests } from './open-requests'
 
