--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -25,6 +25,8 @@
   readonly took: number
 }
 
+/** Time after which a caller has no use for an answer any more, in milliseconds. */
+const DEADLINE_MILLISECONDS = 25_000
 /** How long a caller goes on asking, in milliseconds. */
 const PATIENCE_MILLISECONDS = 40_000
 
@@ -38,7 +40,7 @@
   const began = Date.now()
   let entry = first
   while (Date.now() - began < PATIENCE_MILLISECONDS) {
-    const reply = await submit(cluster, job, entry++ % cluster.entries.length)
+    const reply = await submit(cluster, job, began + DEADLINE_MILLISECONDS, entry++ % cluster.entries.length)
     if (reply === undefined || reply.again) {
       await new Promise((resolve) => setTimeout(resolve, 50 + (entry % 7) * 30))
       continue
@@ -50,7 +52,7 @@
 
 interface Reply { readonly status: number, readonly body: string, readonly verdict: string, readonly accepted: boolean, readonly again: boolean }
 
-async function submit (cluster: Cluster, job: DemoJob, entry: number): Promise<Reply | undefined> {
+async function submit (cluster: Cluster, job: DemoJob, deadline: number, entry: number): Promise<Reply | undefined> {
   const { identifier, workers, accelerators, idempotent, urgency } = job
   const body = JSON.stringify({
     identifier,
@@ -59,6 +61,7 @@
     idempotent,
     checkpointable: idempotent,
     urgency,
+    deadline,
     declaredSeconds: Math.ceil(job.milliseconds / 1_000),
     payload: { contentType: 'application/json', base64: Buffer.from(payloadOf(job)).toString('base64') }
   })
--- a/demo/cluster.ts
+++ b/demo/cluster.ts
@@ -23,6 +23,13 @@
   child: ChildProcess
 }
 
+/** A process or the agent of a worker. */
+interface Startable {
+  readonly name: string
+  child?: ChildProcess
+  agent?: ChildProcess
+}
+
 const BINARY = 'dist/bramleyflow'
 export const WORKERS = 10
 const WORKERS_PER_RACK = 3
@@ -65,6 +72,8 @@
   readonly controls: DemoProcess[] = []
   readonly entries: DemoProcess[] = []
   readonly workers: DemoWorker[] = []
+  /** Exit codes of the processes that were restarted. */
+  readonly stops: number[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'bramleyflow-demo-'))
 
   private constructor () {}
@@ -93,6 +102,37 @@
     (process.child ?? process.agent)?.kill('SIGKILL')
   }
 
+  /** Stops a process gracefully and starts it again with the same settings. */
+  async restart (process: Startable): Promise<void> {
+    const child = process.child ?? process.agent
+    if (child === undefined) return
+    await stopChild(child)
+    this.stops.push(child.exitCode ?? -1)
+    this.replace(process)
+  }
+
+  private replace (process: Startable): void {
+    const next = this.run(process.name)
+    if (process.child === undefined) process.agent = next
+    else process.child = next
+  }
+
+  /** Ends a process at once and starts it again after a time, in milliseconds; its data and its target stay. */
+  async crash (process: Startable, after: number): Promise<void> {
+    const child = process.child ?? process.agent
+    child?.kill('SIGKILL')
+    await new Promise((resolve) => { setTimeout(resolve, after) })
+    this.replace(process)
+  }
+
+  /** Holds a process up for a time, in milliseconds: to all others it is silent, and it does not know. */
+  async freeze (process: Startable, milliseconds: number): Promise<void> {
+    const child = process.child ?? process.agent
+    child?.kill('SIGSTOP')
+    await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+    child?.kill('SIGCONT')
+  }
+
   /** A whole worker host fails: agent, platform and target. */
   async loseWorker (worker: DemoWorker): Promise<void> {
     worker.agent.kill('SIGKILL')
@@ -133,11 +173,15 @@
     mkdirSync(this.folder, { recursive: true })
     const dataCentre = DATA_CENTRES[position % DATA_CENTRES.length]
     writeFileSync(file, JSON.stringify({ host: name, region: 'hue', dataCentre, ...settings }, undefined, 2))
-    const child = spawn(BINARY, ['serve', '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
-    const log = createWriteStream(join(this.folder, `${name}.log`))
+    return { name, address, child: this.run(name) }
+  }
+
+  private run (name: string): ChildProcess {
+    const child = spawn(BINARY, ['serve', '--settings', join(this.folder, `${name}.json`)], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const log = createWriteStream(join(this.folder, `${name}.log`), { flags: 'a' })
     child.stdout?.pipe(log)
     child.stderr?.pipe(log)
-    return { name, address, child }
+    return child
   }
 }
 
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -1,73 +1,19 @@
 // Runs the main job of bramleyflow on real processes and counts, from what the callers and the stand-ins saw,
 // whether each promise of the brief was kept. Exits 1 if one was broken.
-import { randomUUID } from 'node:crypto'
-import { expectedAnswer } from '../stand-ins/index'
-import { call, operate, payloadOf, type DemoJob, type Told } from './callers'
-import { Cluster, demoDocument, WORKERS, type DemoWorker } from './cluster'
+import { call, operate, type Told } from './callers'
+import { Cluster, demoDocument, WORKERS } from './cluster'
+import { count, judgeAnswers, judgeGangs, report, stopAll, targetRuns } from './judge'
+import { leaderOf, mixedJob, putDocument, sleep, until } from './load'
 
 const JOBS = 300
 const LOAD_MILLISECONDS = 12_000
 const LOSE_LEADER_AFTER_MILLISECONDS = 4_000
 const LOSE_WORKER_AFTER_MILLISECONDS = 7_000
-/** A gang whose member is lost is stopped everywhere within this time: lease, margin and the grace of a stop. */
-const GANG_DETECTION_MILLISECONDS = 9_000
 const URGENT_START_MILLISECONDS = 3_800
 const CONFIGURATION_MILLISECONDS = 5_000
 /** A target that leaves gets no new work after this time. */
 const LEAVING_MILLISECONDS = 2_000
 
-interface Promised {
-  readonly promise: string
-  readonly counted: string
-  readonly kept: boolean
-}
-
-const promises: Promised[] = []
-
-function count (promise: string, counted: string, kept: boolean): void {
-  promises.push({ promise, counted, kept })
-}
-
-async function until (what: string, test: () => Promise<boolean> | boolean, limit: number): Promise<number> {
-  const began = Date.now()
-  while (Date.now() - began < limit) {
-    try { if (await test()) return Date.now() - began } catch { /* not yet */ }
-    await sleep(20)
-  }
-  throw new Error(`${what} did not happen within ${limit} ms`)
-}
-
-function sleep (milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds))
-}
-
-/** Small proofs, single portraits and gangs over several workers, half of them not idempotent. */
-function mixedJob (position: number, accounts: readonly string[]): DemoJob {
-  const account = accounts[position % accounts.length] ?? ''
-  const gang = position % 10 === 0
-  const portrait = position % 3 === 0
-  return {
-    identifier: `job-${position}`,
-    account,
-    workers: gang ? 2 + (position / 10) % 2 : 1,
-    accelerators: gang ? 4 : portrait ? 1 + position % 4 : 0,
-    idempotent: position % 2 === 0,
-    milliseconds: gang ? 600 : 50 + (position * 37) % 300,
-    urgency: position % 7 === 0 ? 'urgent' : 'normal'
-  }
-}
-
-async function putDocument (cluster: Cluster, document: object): Promise<void> {
-  const read = Object.fromEntries(Object.keys(document).map((section) => [section, 0]))
-  const body = { requestIdentifier: randomUUID(), read, sections: document }
-  await until('the first document', async () => (await operate(cluster, 'PUT', '/configuration', body)).status === 200, 10_000)
-}
-
-async function leaderOf (cluster: Cluster): Promise<number> {
-  const { body } = await operate(cluster, 'GET', '/control/members')
-  return cluster.controls.findIndex((control) => control.address === body.leader)
-}
-
 async function runLoad (cluster: Cluster, accounts: readonly string[]): Promise<Told[]> {
   const callers: Array<Promise<Told>> = []
   const faults = [
@@ -92,54 +38,6 @@
   return await Promise.all(callers)
 }
 
-/** Runs of each job at all targets, by identifier. */
-function targetRuns (workers: readonly DemoWorker[]): Map<string, number> {
-  const runs = new Map<string, number>()
-  for (const { target } of workers) for (const { job } of target.runs) runs.set(job, (runs.get(job) ?? 0) + 1)
-  return runs
-}
-
-function judgeAnswers (told: readonly Told[], runs: ReadonlyMap<string, number>): void {
-  const finished = told.filter((one) => one.status === 200)
-  const wrong = finished.filter((one) => one.body !== expectedAnswer(Buffer.from(payloadOf(one.job))).toString())
-  const lost = told.filter((one) => one.status === 0)
-  const untrue = told.filter((one) => one.status !== 200 && one.verdict === 'not-run' && (runs.get(one.job.identifier) ?? 0) > 0)
-  const doubled = told.filter((one) => !one.job.idempotent && (runs.get(one.job.identifier) ?? 0) > 1)
-  const mayHaveRun = told.filter((one) => one.verdict === 'may-have-run')
-  const unanswered = told.length - finished.length - lost.length - mayHaveRun.length
-  count('every caller gets the whole answer to its own request', `${finished.length} of ${told.length} answered whole, ${mayHaveRun.length} told may-have-run, ${unanswered} told not-run, ${wrong.length} wrong, ${lost.length} lost`, wrong.length === 0 && lost.length === 0 && finished.length > told.length * 0.9)
-  count('a refusal that says not run is true', `${untrue.length} untrue`, untrue.length === 0)
-  count('a non-idempotent request runs at most once', `${doubled.length} doubled`, doubled.length === 0)
-  for (const one of told.filter((each) => each.status !== 200).slice(0, 5)) console.log(`  ${one.job.identifier}: ${one.status} ${one.body}`)
-}
-
-/** Time during which an attempt ran on some but not all of its workers, after all had started or any had ended. */
-function judgeGangs (workers: readonly DemoWorker[], sizes: ReadonlyMap<string, number>): void {
-  const starts = new Map<string, Array<{ startedAt: number, endedAt: number }>>()
-  for (const { platform } of workers) {
-    for (const record of platform.records) {
-      const list = starts.get(record.key) ?? []
-      list.push({ startedAt: record.startedAt, endedAt: record.endedAt === 0 ? Date.now() : record.endedAt })
-      starts.set(record.key, list)
-    }
-  }
-  let gangs = 0
-  let worst = 0
-  for (const [key, members] of starts) {
-    const size = sizes.get(key.slice(0, key.lastIndexOf('.'))) ?? 1
-    if (size === 1) continue
-    gangs++
-    const allStarted = members.length === size ? Math.max(...members.map((member) => member.startedAt)) : Infinity
-    const firstStart = Math.min(...members.map((member) => member.startedAt))
-    const firstEnd = Math.min(...members.map((member) => member.endedAt))
-    const lastEnd = Math.max(...members.map((member) => member.endedAt))
-    worst = Math.max(worst, Math.min(allStarted, lastEnd) - firstStart, lastEnd - firstEnd)
-  }
-  count('no gang runs with part of its accelerators', `${gangs} gang attempts, longest time in part ${worst} ms`, gangs > 0 && worst < GANG_DETECTION_MILLISECONDS)
-  const conflicts = workers.reduce((sum, { platform }) => sum + platform.conflicts, 0)
-  count('no accelerator is given twice', `${conflicts} refused by the platforms`, conflicts === 0)
-}
-
 interface ExampleGuarantee {
   readonly account: string
   readonly graceSeconds: number
@@ -203,17 +101,9 @@
     if (guarantee !== undefined) await judgeReclaim(cluster, accounts, guarantee)
     await judgeDrain(cluster, accounts)
   } finally {
-    const stopping = Date.now()
-    await cluster.stop()
-    const { controls, entries, workers } = cluster
-    const children = [...controls.map((one) => one.child), ...entries.map((one) => one.child), ...workers.map((one) => one.agent)]
-    const graceful = children.filter((child) => child.exitCode === 0).length
-    for (const child of children) if (child.exitCode !== 0) console.log(`  ${child.spawnargs.at(-1)?.split('/').at(-1)} ended with ${child.exitCode ?? child.signalCode}`)
-    count('every planned stop is graceful', `${graceful} of ${children.length - 2} processes ended by themselves with 0, in ${Date.now() - stopping} ms`, graceful === children.length - 2)
+    await stopAll(cluster, 2)
   }
-  for (const { promise, counted, kept } of promises) console.log(`${kept ? 'kept  ' : 'BROKEN'} ${promise}: ${counted}`)
-  console.log(`took ${Math.round((Date.now() - began) / 1_000)} s`)
-  if (promises.some(({ kept }) => !kept)) process.exitCode = 1
+  report(began)
 }
 
 await main().catch((error: Error) => {
