Prove the decisions by generated histories against an independent checker

Cause: the promises of placement were not yet tested under faults. Conclusion: work that makes room again and again now waits longer each time; homes move aside for work that cannot be stopped, together with its reservation.

--- /dev/null
+++ b/measurements/histories.ts
@@ -0,0 +1,16 @@
+import { runHistory } from '../test/history-runner'
+
+// Runs generated histories of given seeds and prints what was broken:
+// node scripts/tool.mjs measurements/histories.ts FROM TO
+
+const [from = 1, to = 100] = process.argv.slice(2).map(Number)
+let failed = 0
+let jobs = 0
+for (let seed = from; seed <= to; seed++) {
+  const { broken, ended } = runHistory(seed)
+  jobs += ended
+  if (broken.length === 0) continue
+  failed++
+  console.log(broken.join('\n'))
+}
+console.log(`${to - from + 1} histories, ${jobs} jobs ended, ${failed} histories with broken promises`)
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow'
+import { returnWorker } from './blame'
 import { putConfiguration } from './configuration'
 import { Draft } from './draft'
 import type { Effect } from './effect'
@@ -38,7 +39,8 @@
   [TransactionKind.EndJobs]: endJobs,
   [TransactionKind.Refuse]: refuse,
   [TransactionKind.Expire]: expire,
-  [TransactionKind.SetHomes]: setHomes
+  [TransactionKind.SetHomes]: setHomes,
+  [TransactionKind.ReturnWorker]: returnWorker
 }
 
 /**
--- a/src/core/blame.ts
+++ b/src/core/blame.ts
@@ -1,6 +1,8 @@
+import { ok, type Result } from 'neverthrow'
 import type { Draft } from './draft'
 import { Reason, type Job } from './job'
-import { TransactionKind } from './transaction'
+import { TransactionKind, type ReturnWorker } from './transaction'
+import type { Refusal } from './verdict'
 import { WorkerHealth, type Worker, type WorkerFailure } from './worker'
 
 /** Failures of distinct jobs without a success between them, of at least two accounts, that quarantine a worker. */
@@ -35,7 +37,7 @@
     return
   }
   if (!isToBlame(recentFailures)) { draft.setWorker({ ...worker, recentFailures }); return }
-  draft.setWorker({ ...worker, recentFailures, health: WorkerHealth.Quarantined, probeAt: draft.at + PROBE_BASE_MILLISECONDS, quarantinedAt: draft.at })
+  draft.setWorker({ ...worker, recentFailures, health: WorkerHealth.Quarantined, probeAt: draft.at + probeDelay(worker, draft.at), quarantinedAt: worker.quarantinedAt ?? draft.at })
   const message = `${recentFailures.length} distinct jobs failed here: ${recentFailures.map((entry) => entry.job).join(', ')}`
   draft.note({ kind: TransactionKind.EndAttempt, workers: [workerName], reason: Reason.Quarantined, message })
 }
@@ -71,6 +73,20 @@
   }
 }
 
+/**
+ * Returns a quarantined worker on trust. What failed there is still held against it: the next failure sends it back.
+ * @param draft - the change being made
+ * @param transaction - the entry
+ * @returns nothing, or the refusal that left the state as it was
+ */
+export function returnWorker (draft: Draft, transaction: ReturnWorker): Result<void, Refusal> {
+  const worker = draft.worker(transaction.worker)
+  if (worker === undefined || worker.health === WorkerHealth.Healthy) return ok(undefined)
+  draft.setWorker({ ...worker, health: WorkerHealth.Healthy })
+  draft.note({ kind: transaction.kind, workers: [worker.name], reason: Reason.ReturnedToService, message: 'on trust: no waiting job could probe it' })
+  return ok(undefined)
+}
+
 /**
  * Tells whether a job itself is to blame: it failed on enough workers that are not suspects themselves.
  * @param draft - the change being made
--- a/src/core/guarantees.ts
+++ b/src/core/guarantees.ts
@@ -237,6 +237,45 @@
   return { homes: [...beside.homes, ...under.homes], missing: under.missing }
 }
 
+/** Homes that are packed anew at once, at most. */
+const MOST_MOVED_HOMES = 64
+
+/**
+ * Moves homes that nobody holds out of the way of a job that cannot be stopped once it runs.
+ * @param state - the state
+ * @param job - the job
+ * @param members - free accelerators on which it could start, were it not for those homes
+ * @param now - milliseconds since the epoch
+ * @returns the entry to propose, or nothing where the homes could not all be kept
+ */
+export function moveHomesAside (state: State, job: Job, members: readonly Member[], now: number): SetHomes | undefined {
+  const { maintenance } = state.configuration.document
+  const usable = state.workers.valueSeq().toArray().filter((worker) => isUsable(worker, maintenance))
+  const homes = [...state.homes.values()].sort((one, other) => one.identifier < other.identifier ? -1 : 1)
+  const workers = new Set(members.map((member) => member.worker))
+  const isFree = (home: Home): boolean => !state.homeHolders.has(home.identifier)
+  const near = homes.filter((home) => isFree(home) && home.members.some((member) => workers.has(member.worker)))
+  const far = homes.filter((home) => isFree(home) && !near.includes(home))
+  for (const moved of [near, [...near, ...far]]) {
+    if (moved.length > MOST_MOVED_HOMES) return undefined
+    const kept = homes.filter((home) => !moved.includes(home))
+    const packed = packHomes(moved, () => binsAround(binsBeside(state, usable, kept, true), job, members))
+    if (packed.missing.length > 0) continue
+    return { kind: TransactionKind.SetHomes, at: now, homes: changedHomes(state, packed.homes), removed: [], missing: state.missingHomes.toArray().sort() }
+  }
+  return undefined
+}
+
+function binsAround (bins: Bin[], job: Job, members: readonly Member[]): Bin[] {
+  const masks = new Map(members.map((member) => [member.worker, member.mask]))
+  const { shape } = job.specification
+  for (const bin of bins) {
+    const mask = masks.get(bin.worker.name)
+    if (mask !== undefined) take(bin, { ...shape, memoryMegabytes: amountsOfJob(job, 0).memoryMegabytes }, mask)
+  }
+  return bins
+}
+
 function changedHomes (state: State, homes: readonly Home[]): Home[] {
   return homes.filter((home) => JSON.stringify(state.homes.get(home.identifier)?.members) !== JSON.stringify(home.members))
 }
--- a/src/core/homes.ts
+++ b/src/core/homes.ts
@@ -117,7 +117,7 @@
   let order = [...wanted].sort(hardestFirst)
   let best: Packing | undefined
   for (let round = 0; round < PACKING_ROUNDS; round++) {
-    const packing = packInOrder(order, makeBins())
+    const packing = packEitherWay(order, makeBins)
     if (best === undefined || packing.missing.length < best.missing.length) best = packing
     if (packing.missing.length === 0) break
     const late = new Set(packing.missing)
@@ -138,11 +138,19 @@
     (one.identifier < other.identifier ? -1 : 1)
 }
 
-function packInOrder (order: readonly WantedHome[], bins: Bin[]): Packing {
+/** Filling up few workers keeps the others whole; gangs of many small parts may need the parts spread. */
+function packEitherWay (order: readonly WantedHome[], makeBins: () => Bin[]): Packing {
+  const filled = packInOrder(order, makeBins(), 1)
+  if (filled.missing.length === 0) return filled
+  const spread = packInOrder(order, makeBins(), -1)
+  return spread.missing.length < filled.missing.length ? spread : filled
+}
+
+function packInOrder (order: readonly WantedHome[], bins: Bin[], sign: 1 | -1): Packing {
   const homes: Home[] = []
   const missing: WantedHome[] = []
   for (const home of order) {
-    const members = packOne(home.shape, bins)
+    const members = packOne(home.shape, bins, sign)
     if (members === undefined) missing.push(home)
     else homes.push({ ...home, members })
   }
@@ -157,14 +165,14 @@
 }
 
 /** Takes the group of workers that the home fills best. */
-function packOne (shape: Shape, bins: Bin[]): HomeMember[] | undefined {
+function packOne (shape: Shape, bins: Bin[], sign: 1 | -1): HomeMember[] | undefined {
   const groups = new Map<string, Candidate[]>()
   for (const bin of bins) {
     const mask = maskInBin(shape, bin)
     if (mask === undefined) continue
     const group = shape.workers === 1 ? '' : groupOf[shape.within](bin.worker)
     const candidates = groups.get(group)
-    const candidate = { bin, mask, left: bitCount(bin.free & ~mask) }
+    const candidate = { bin, mask, left: sign * bitCount(bin.free & ~mask) }
     if (candidates === undefined) groups.set(group, [candidate])
     else candidates.push(candidate)
   }
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -125,6 +125,8 @@
   readonly notBefore: number
   /** Distinct workers on which an attempt failed. */
   readonly failedOn: readonly string[]
+  /** How often it was stopped, or lost its reservation, to make room for others. */
+  readonly stops: number
   /** Failed attempts, whatever the cause. */
   readonly failures: number
   /** Memory that a run was seen to need, in megabytes; 0 where nothing is known. */
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import { blameFailure, clearBlame, isJobToBlame } from './blame'
-import type { JobSpecification } from './document'
+import { Urgency, type JobSpecification } from './document'
 import { heldMembers, memoryNeeded, type Draft } from './draft'
 import { EffectKind } from './effect'
 import { estimateKey, learnedMemoryOf } from './estimates'
@@ -75,6 +75,7 @@
     attempts: 0,
     notBefore: 0,
     failedOn: [],
+    stops: 0,
     failures: 0,
     learnedMemory: learnedMemoryOf(draft.estimate(estimateKey(specification.account, specification.kind))),
     cancelRequested: false
@@ -92,6 +93,10 @@
   const account = document.clientAccounts.find((candidate) => candidate.name === specification.account)
   if (account === undefined) return notRun(RefusalCode.UnknownAccount, `no client account ${specification.account}`)
   if (specification.deadline !== 0 && specification.deadline <= draft.at) return notRun(RefusalCode.DeadlinePassed, 'the deadline has passed')
+  const accelerators = specification.shape.workers * specification.shape.accelerators
+  if (accelerators > account.runningAccelerators) {
+    return notRun(RefusalCode.OverLimit, `${accelerators} accelerators at once, ${account.name} may use ${account.runningAccelerators}`)
+  }
   if (draft.at - draft.fleetGrewAt >= FLEET_SETTLED_MILLISECONDS && !holdable(draft.allWorkers(), newJob(draft, identifier, specification, false))) {
     return notRun(RefusalCode.ImpossibleShape, 'no known part of the fleet could hold this shape, even when empty')
   }
@@ -163,9 +168,24 @@
   return ok(undefined)
 }
 
+const madeRoomReasons: ReadonlySet<Reason> = new Set([Reason.Reclaimed, Reason.MadeRoomForUrgent, Reason.MadeRoomForGang])
+/** Milliseconds that a job waits at least after it made room the second time; doubled with each further time. */
+const PAUSE_BASE_MILLISECONDS = 1_000
+const PAUSE_MOST_MILLISECONDS: { readonly [urgency in Urgency]: number } = {
+  [Urgency.Urgent]: 2_000, [Urgency.Normal]: 300_000, [Urgency.Background]: 300_000
+}
+
+/** Work that makes room again and again waits longer each time, so that no two jobs take turns without either ending. */
+function pauseAfter (job: Job, stops: number): number {
+  if (stops < 2) return 0
+  return Math.min(PAUSE_BASE_MILLISECONDS * 2 ** (stops - 2), PAUSE_MOST_MILLISECONDS[job.specification.urgency])
+}
+
 function release (draft: Draft, job: RunningJob, reason: Reason): void {
   tellMembers(draft, job.identifier, job.attempt, EffectKind.Release)
-  draft.setJob({ ...job, state: JobState.Queued, attempt: undefined, notBefore: draft.at + RELEASE_MILLISECONDS })
+  const stops = job.stops + (madeRoomReasons.has(reason) ? 1 : 0)
+  const notBefore = draft.at + Math.max(RELEASE_MILLISECONDS, pauseAfter(job, stops))
+  draft.setJob({ ...job, state: JobState.Queued, attempt: undefined, stops, notBefore })
   noteMove(draft, TransactionKind.ReleaseJob, job, JobState.Queued, reason, job.attempt)
 }
 
@@ -291,8 +311,9 @@
     return
   }
   const { pendingMemory, ...kept } = rest
-  const notBefore = attempt.failed === true ? retryAt(draft, job) : draft.at
-  draft.setJob({ ...kept, state: JobState.Queued, queuedAt: draft.at, notBefore, learnedMemory: pendingMemory ?? job.learnedMemory })
+  const stops = job.stops + (madeRoomReasons.has(cause) ? 1 : 0)
+  const notBefore = attempt.failed === true ? retryAt(draft, job) : draft.at + (stops > job.stops ? pauseAfter(job, stops) : 0)
+  draft.setJob({ ...kept, state: JobState.Queued, queuedAt: draft.at, notBefore, stops, learnedMemory: pendingMemory ?? job.learnedMemory })
   noteMove(draft, TransactionKind.EndAttempt, job, JobState.Queued, cause, attempt)
 }
 
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -3,11 +3,11 @@
 import { expectedSeconds, HIGH_QUANTILE } from './estimates'
 import { Shares } from './fairness'
 import { Fleet, type Row } from './fleet'
-import { fitsHome, isDrained, membersInHome } from './guarantees'
+import { fitsHome, isDrained, membersInHome, moveHomesAside } from './guarantees'
 import { add, amountsOfJob, isFirm, within, type JobPart } from './holdings'
 import type { Home } from './homes'
 import { hasEnded, JobState, Reason, type Job, type Member } from './job'
-import { clear, placeByStopping, placeFree, type Place, type Search, type StopCost } from './placement'
+import { clear, largestGroup, placeByStopping, placeFree, type Place, type Search, type StopCost } from './placement'
 import { compareEntries, urgencyRank, type Entry, type Queue } from './queue'
 import type { State } from './state'
 import { TransactionKind, type Transaction } from './transaction'
@@ -15,6 +15,10 @@
 
 /** Reservations that are decided in one call at most; the next call goes on. */
 const MOST_RESERVATIONS = 64
+/** Kinds of waiting jobs for which it is tried to move homes aside, in one call. */
+const MOST_MOVES_TRIED = 4
+/** Milliseconds that a quarantined worker waits for a job that can probe it. */
+const TRUST_MILLISECONDS = 60_000
 /** Accelerators from which on a job counts as large. */
 const LARGE_ACCELERATORS = 8
 /** Milliseconds that work may take to checkpoint and stop when it makes room for urgent work. */
@@ -23,6 +27,8 @@
 const STOP_PART_OF_GRACE = 0.6
 /** Lost seconds when a job that can be checkpointed is stopped. */
 const CHECKPOINT_SECONDS = 5
+/** Seconds that every stop costs, were it only for a reservation. */
+const LEAST_LOST_SECONDS = 2
 /** What a slot counts beside an accelerator. */
 const ACCELERATORS_PER_SLOT = 0.125
 /** A gang may stop only jobs that are at most this part of its size, so that gangs do not stop one another in turn. */
@@ -77,7 +83,28 @@
     this.probe()
     this.serveOldestGang()
     this.fill()
-    return this.transactions
+    return this.transactions.length > 0 ? this.transactions : this.moveHomes()
+  }
+
+  /** Work that cannot be stopped may not lie on a home; where only homes are in its way that nobody holds, they move. */
+  private moveHomes (): Transaction[] {
+    if (this.state.homes.size === 0) return []
+    const firm = this.queue.accounts.flatMap(({ entries }) => entries.filter((entry) => isFirm(entry.job) && this.isDue(entry)))
+    const failed = failedMoves(this.state)
+    const tried = new Set<string>()
+    for (const entry of firm.sort(compareEntries)) {
+      if (tried.has(entry.sort) || failed.has(entry.sort) || !this.shares.allows(entry.job.specification.account, entry.accelerators)) continue
+      if (tried.size >= MOST_MOVES_TRIED) return []
+      tried.add(entry.sort)
+      const overHomes = (home: string): boolean => !this.state.homeHolders.has(home)
+      const place = placeFree(this.fleet, { ...this.search(entry.job, false, false), overHomes })
+      const moved = place === undefined ? undefined : moveHomesAside(this.state, entry.job, place.members, this.now)
+      if (place === undefined || moved === undefined) { failed.add(entry.sort); continue }
+      this.transactions.push(moved)
+      this.reserve(entry, place, Reason.FairShare)
+      return this.transactions
+    }
+    return []
   }
 
   /** Work that can run again leaves workers that get no new work. */
@@ -142,7 +169,7 @@
   private reclaim (entry: Entry, homes: readonly Home[]): boolean {
     let best: { home: Home, stopped: readonly string[], cost: number } | undefined
     for (const home of homes) {
-      const cleared = this.clearHome(entry.job, home)
+      const cleared = this.clearHome(entry, home)
       if (cleared !== undefined && (best === undefined || cleared.cost < best.cost)) best = { home, ...cleared }
     }
     if (best === undefined) return false
@@ -150,9 +177,11 @@
     return this.takeHome(entry, best.home, true)
   }
 
-  private clearHome (job: Job, home: Home): { stopped: string[], cost: number } | undefined {
+  /** Borrowers leave; of the account's own work only what is less urgent. */
+  private clearHome ({ job, rank }: Entry, home: Home): { stopped: string[], cost: number } | undefined {
     const stopped = new Set<string>()
-    const cost = this.stopCost((part) => !part.atHome)
+    const cost = this.stopCost((part, other) => !part.atHome &&
+      (part.account !== job.specification.account || urgencyRank[other.specification.urgency] > rank))
     let sum = 0
     for (const { worker, mask } of membersInHome(job, home)) {
       const row = this.fleet.row(worker)
@@ -196,20 +225,22 @@
       if (worker.health !== WorkerHealth.Quarantined || !worker.present || worker.leaving || worker.probeAt > this.now || row.parts.length > 0) continue
       if (isDrained(worker, this.state.configuration.document.maintenance) || this.silent.has(worker.name)) continue
       const entry = this.probeFor(row)
-      if (entry === undefined) return
+      if (entry === undefined) {
+        if (this.queue.size > 0 && worker.probeAt + TRUST_MILLISECONDS <= this.now) this.transactions.push({ kind: TransactionKind.ReturnWorker, at: this.now, worker: worker.name })
+        continue
+      }
       const mask = 2 ** entry.job.specification.shape.accelerators - 1
       this.reserve(entry, { members: [{ worker: worker.name, incarnation: worker.incarnation, mask }], borrowing: false, stopped: [], lost: 0 }, Reason.Probe)
     }
   }
 
   private probeFor (row: Row): Entry | undefined {
-    for (const { entries } of this.queue.accounts) {
-      const entry = entries.find(({ job, rank, accelerators }) => rank > 0 && job.specification.shape.workers === 1 && !isFirm(job) &&
-        job.failures === 0 && !this.handled.has(job.identifier) && job.notBefore <= this.now && 2 ** accelerators - 1 <= row.full &&
+    const candidates = this.queue.accounts.flatMap(({ entries }) => {
+      return entries.filter(({ job, accelerators }) => job.specification.shape.workers === 1 && !isFirm(job) &&
+        !job.failedOn.some((name) => name !== row.worker.name) && !this.handled.has(job.identifier) && job.notBefore <= this.now && 2 ** accelerators - 1 <= row.full &&
         within(row.worker, amountsOfJob(job, 0)) && this.shares.allows(job.specification.account, accelerators))
-      if (entry !== undefined) return entry
-    }
-    return undefined
+    })
+    return candidates.sort((one, other) => one.job.failures - other.job.failures || one.accelerators - other.accelerators)[0]
   }
 
   /** The large job that waits longest starts, or makes room, or gets the place where it can start first. */
@@ -286,11 +317,8 @@
   private placeFree (job: Job, borrow: boolean, intoAwaited: boolean): Place | undefined {
     const place = placeFree(this.fleet, this.search(job, borrow, intoAwaited))
     if (place !== undefined || job.failedOn.length === 0) return place
-    const needed = amountsOfJob(job, 0)
-    const { shape } = job.specification
-    const others = this.fleet.rows.filter((row) => row.usable && !job.failedOn.includes(row.worker.name) &&
-      row.worker.accelerators >= shape.accelerators && within(row.worker, needed))
-    if (others.length >= shape.workers) return undefined
+    const others = this.fleet.rows.filter((row) => row.usable && !job.failedOn.includes(row.worker.name)).map((row) => row.worker)
+    if (largestGroup(others, job, false) >= job.specification.shape.workers) return undefined
     return placeFree(this.fleet, { ...this.search(job, borrow, intoAwaited), avoid: (worker) => this.silent.has(worker) })
   }
 
@@ -353,8 +381,8 @@
   const { shape, checkpointable } = job.specification
   const size = shape.workers * Math.max(shape.accelerators, shape.slots * ACCELERATORS_PER_SLOT)
   const startedAt = job.attempt?.startedAt ?? 0
-  if (startedAt === 0 || job.attempt?.reason === Reason.Backfill) return 0
-  const seconds = (now - startedAt) / 1_000
+  if (job.attempt?.reason === Reason.Backfill) return 0
+  const seconds = Math.max(LEAST_LOST_SECONDS, startedAt === 0 ? 0 : (now - startedAt) / 1_000)
   return size * (checkpointable ? Math.min(seconds, CHECKPOINT_SECONDS) : seconds)
 }
 
@@ -362,6 +390,23 @@
   return shape.workers * shape.accelerators
 }
 
+interface FailedMoves {
+  readonly workers: State['workers']
+  readonly usage: State['usage']
+  readonly homes: State['homes']
+  readonly classes: Set<string>
+}
+
+let lastFailedMoves: FailedMoves | undefined
+
+/** Classes of jobs for which homes could not be moved aside while workers, usage and homes were as they are. */
+function failedMoves ({ workers, usage, homes }: State): Set<string> {
+  const last = lastFailedMoves
+  if (last !== undefined && last.workers === workers && last.usage === usage && last.homes === homes) return last.classes
+  lastFailedMoves = { workers, usage, homes, classes: new Set() }
+  return lastFailedMoves.classes
+}
+
 const byAccountOfHomes = new WeakMap<State['homes'], ReadonlyMap<string, readonly Home[]>>()
 
 function homesByAccount (homes: State['homes']): ReadonlyMap<string, readonly Home[]> {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,7 +1,7 @@
 import { Level, type Placement } from './document'
 import { memoryNeeded } from './draft'
 import type { Fleet, Row } from './fleet'
-import { add, amountsOfJob, isFirm, within, type Amounts, type JobPart } from './holdings'
+import { add, amountsOfJob, isFirm, noAmounts, within, type Amounts, type JobPart } from './holdings'
 import type { Job, Member } from './job'
 import type { State, WorkerUsage } from './state'
 import { adjacentMasks, bestMask, groupOf, worth } from './topology'
@@ -30,6 +30,8 @@
   readonly weights: Placement
   /** Homes of other accounts may be borrowed. */
   readonly borrow: boolean
+  /** Homes that nobody of their account holds may be moved out of the way. */
+  readonly overHomes?: (home: string) => boolean
   /** The place awaited by the oldest gang may be used. */
   readonly intoAwaited: boolean
   /** Workers that are left out. */
@@ -78,16 +80,22 @@
   const held = add(row.standing, row.taken)
   if (!within(row.worker, add(held, needed))) return undefined
   const firm = isFirm(search.job)
-  if (firm && !within(row.worker, add(add(row.firm, row.kept), needed))) return undefined
+  const kept = search.overHomes === undefined ? row.kept : keptBeside(row, search.overHomes)
+  if (firm && !within(row.worker, add(add(row.firm, kept), needed))) return undefined
   if (!search.intoAwaited && row.awaited.slots + row.awaited.mask > 0 && !within(row.worker, add(add(held, row.awaited), needed))) return undefined
   const free = row.free & ~(search.intoAwaited ? 0 : row.awaited.mask)
   const count = search.job.specification.shape.accelerators
-  const beside = bestMask(count, free & ~row.kept.mask)
+  const beside = bestMask(count, free & ~kept.mask)
   const mask = beside ?? (search.borrow && !firm ? bestMask(count, free) : undefined)
   if (mask === undefined) return undefined
   return { row, mask, score: damage(row, mask, search.weights) + (beside === undefined ? search.weights.completionTimeWeight : 0), stopped: none, lost: 0 }
 }
 
+/** What the homes keep of a worker that cannot be moved. */
+function keptBeside (row: Row, movable: (home: string) => boolean): Amounts {
+  return row.homes.filter(({ home }) => !movable(home.identifier)).reduce<Amounts>(add, noAmounts)
+}
+
 const none: readonly string[] = []
 
 /** What taking accelerators costs those who need long runs. */
@@ -246,22 +254,30 @@
  */
 export function holdable (workers: State['workers'], job: Job, present = false): boolean {
   const { shape } = job.specification
-  const needed = amountsOfJob(job, 2 ** shape.accelerators - 1)
+  const needed = amountsOfJob(job, 0)
   const key = `${shape.workers},${shape.within},${shape.accelerators},${needed.slots},${needed.processors},${needed.memoryMegabytes},${present}`
   const known = holdableByWorkers.get(workers) ?? new Map<string, boolean>()
   holdableByWorkers.set(workers, known)
   const before = known.get(key)
   if (before !== undefined) return before
-  const answer = largestGroup(workers, job, needed, present) >= shape.workers
+  const answer = largestGroup(workers.values(), job, present) >= shape.workers
   known.set(key, answer)
   return answer
 }
 
-function largestGroup (workers: State['workers'], job: Job, needed: Amounts, present: boolean): number {
+/**
+ * How many workers of one group could each hold a part of a job if they were empty.
+ * @param workers - the workers that are asked about
+ * @param job - the job
+ * @param present - count only workers that are present and stay
+ * @returns the size of the largest such group
+ */
+export function largestGroup (workers: Iterable<Worker>, job: Job, present: boolean): number {
   const { shape } = job.specification
+  const needed = amountsOfJob(job, 0)
   const counts = new Map<string, number>()
-  for (const worker of workers.values()) {
-    if ((present && (!worker.present || worker.leaving)) || needed.mask >= 2 ** worker.accelerators || !within(worker, needed)) continue
+  for (const worker of workers) {
+    if ((present && (!worker.present || worker.leaving)) || shape.accelerators > worker.accelerators || !within(worker, needed)) continue
     const group = shape.workers === 1 ? worker.name : groupOf[shape.within](worker)
     counts.set(group, (counts.get(group) ?? 0) + 1)
   }
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -21,7 +21,8 @@
   EndJobs = 'end-jobs',
   Refuse = 'refuse',
   Expire = 'expire',
-  SetHomes = 'set-homes'
+  SetHomes = 'set-homes',
+  ReturnWorker = 'return-worker'
 }
 
 /** How a member's part of an attempt ended without an answer. */
@@ -181,8 +182,14 @@
   readonly missing: readonly string[]
 }
 
+/** A quarantined worker gets work again without a probe, as nothing that could probe it waits. */
+export interface ReturnWorker extends Common {
+  readonly kind: TransactionKind.ReturnWorker
+  readonly worker: string
+}
+
 /** One entry of the log. Time and identifiers are inside. */
 export type Transaction =
   | PutConfiguration | AnnounceWorker | LoseWorker | LeaveWorker
   | AcceptJob | ReserveJob | ReleaseJob | StartJob | StopJob | EndAttempt | FinishJob
-  | CancelJobs | EndJobs | Refuse | Expire | SetHomes
+  | CancelJobs | EndJobs | Refuse | Expire | SetHomes | ReturnWorker
--- /dev/null
+++ b/test/history-3.test.ts
@@ -0,0 +1,3 @@
+import { keepsPromises } from './histories'
+
+keepsPromises(501, 750)
