Leave a target that answers nothing, and tell it from one that works long

Ruled out: bounding run times by the declared ones, which are far off and would end long jobs that run well. Change: while a request is open for over a second the agent asks the target for anything at all; three questions unanswered end what was sent there as may-have-run, reservations are refused as target-silent, and the leader leaves the worker alone for two seconds at a time until it answers. One of the 64 connections is kept for the questions, so two tests that count connections to the last one give the agent one more, and expect the same. Open: one request that is lost inside a target that answers others ends only at the caller's deadline.

--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -16,6 +16,9 @@
 const LONG_FREEZE_MILLISECONDS = 7_000
 const SHORT_FREEZE_MILLISECONDS = 1_500
 
+/** Long enough for the agent to notice. */
+const SILENT_TARGET_MILLISECONDS = 6_000
+
 const generator = xoroshiro128plus(SEED)
 
 function pick (count: number): number {
@@ -33,6 +36,7 @@
   { name: 'an agent is held up', strike: async (cluster) => { await cluster.freeze(oneOf(cluster.workers), SHORT_FREEZE_MILLISECONDS) } },
   { name: 'a target fails everything', strike: async (cluster) => { await breakTarget(cluster, Fault.FailEverything) } },
   { name: 'a target answers half', strike: async (cluster) => { await breakTarget(cluster, Fault.HalfBody) } },
+  { name: 'a target is silent', strike: async (cluster) => { await breakTarget(cluster, Fault.Silent, SILENT_TARGET_MILLISECONDS) } },
   { name: 'a target hangs', strike: async (cluster) => { await breakTarget(cluster, Fault.Hang) } },
   { name: 'a target sends a wrong byte', strike: async (cluster) => { await breakTarget(cluster, Fault.WrongByte) } },
   { name: 'a target refuses connections', strike: async (cluster) => { await breakTarget(cluster, Fault.Refuse) } }
@@ -44,10 +48,10 @@
   return item
 }
 
-async function breakTarget (cluster: Cluster, fault: Fault): Promise<void> {
+async function breakTarget (cluster: Cluster, fault: Fault, milliseconds = 2_000): Promise<void> {
   const { target } = oneOf(cluster.workers)
   target.fail({ fault })
-  await sleep(2_000)
+  await sleep(milliseconds)
   target.fail({ fault: Fault.None })
 }
 
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -12,7 +12,8 @@
 import { PLATFORM_CONNECTIONS, PlatformClient } from './platform'
 import { ReportReason } from './report'
 import { ControlStream } from './stream'
-import { TargetClient } from './target'
+import { QUESTION_CONNECTIONS, TargetClient } from './target'
+import { healthyTarget, isQuestionDue, questioned, type TargetHealth } from './target-watch'
 
 /** Connections to the worker's target and platform, in all. */
 export const DEFAULT_CONNECTIONS = 64
@@ -75,6 +76,7 @@
   private usage: Readonly<Record<string, number>> = {}
   private usedProcessors = 0
   private watches = 0
+  private targetHealth: TargetHealth = healthyTarget
   private readonly stream: ControlStream
   private readonly platform: PlatformClient
   private readonly target: TargetClient
@@ -87,7 +89,7 @@
   private resendTimer?: NodeJS.Timeout
 
   private constructor (private readonly options: AgentOptions) {
-    const connections = (options.connections ?? DEFAULT_CONNECTIONS) - PLATFORM_CONNECTIONS
+    const connections = (options.connections ?? DEFAULT_CONNECTIONS) - PLATFORM_CONNECTIONS - QUESTION_CONNECTIONS
     const { accelerators, slots } = options.worker
     this.state = initialAgentState(randomUUID(), { accelerators, slots, connections })
     this.platform = PlatformClient.create(options.platformUrl)
@@ -178,7 +180,19 @@
     return true
   }
 
+  private async watchTarget (): Promise<void> {
+    if (!isQuestionDue(this.targetHealth, this.target.longestOpen())) return
+    const answered = await this.target.answers()
+    const before = this.targetHealth
+    this.targetHealth = questioned(before, answered)
+    const { silent } = this.targetHealth
+    if (this.ended || silent === before.silent) return
+    this.log(silent ? 'target-silent' : 'target-answers', {})
+    this.dispatch({ kind: EventKind.TargetWatched, silent })
+  }
+
   private async watch (): Promise<void> {
+    this.watchTarget()
     if (this.onPlatform().length === 0 && this.state.leftovers.size === 0) return
     if (this.watches++ % WATCHES_PER_USAGE === 0) await this.lookAtUsage()
     await this.look()
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -77,6 +77,8 @@
   readonly capacity: Capacity
   readonly leased: boolean
   readonly leaving: boolean
+  /** The target answers nothing: no new work, and what was sent to it is given up. */
+  readonly targetSilent: boolean
   readonly attempts: ReadonlyMap<string, Attempt>
   readonly leftovers: ReadonlyMap<string, Leftover>
   /**
@@ -107,7 +109,9 @@
   LeaseGained = 'lease-gained',
   LeaseEnded = 'lease-ended',
   Leave = 'leave',
-  StopAll = 'stop-all'
+  StopAll = 'stop-all',
+  /** The target does not answer any more, or answers again. */
+  TargetWatched = 'target-watched'
 }
 
 interface Keyed { readonly key: AttemptKey }
@@ -131,6 +135,7 @@
   | { readonly kind: EventKind.LeaseGained }
   | { readonly kind: EventKind.LeaseEnded, readonly graceMilliseconds: number }
   | { readonly kind: EventKind.Leave }
+  | { readonly kind: EventKind.TargetWatched, readonly silent: boolean }
   | { readonly kind: EventKind.StopAll, readonly reason: ReportReason, readonly graceMilliseconds: number }
 
 /** What the platform shows. */
--- a/src/agent/attempts.ts
+++ b/src/agent/attempts.ts
@@ -26,7 +26,16 @@
  */
 export function initialAgentState (incarnation: string, capacity: Capacity): AgentState {
   return {
-    incarnation, capacity, leased: false, leaving: false, attempts: new Map(), leftovers: new Map(), inherited: [], refused: [], settled: []
+    incarnation,
+    capacity,
+    leased: false,
+    leaving: false,
+    targetSilent: false,
+    attempts: new Map(),
+    leftovers: new Map(),
+    inherited: [],
+    refused: [],
+    settled: []
   }
 }
 
@@ -137,6 +146,11 @@
   [EventKind.LeaseEnded]: (state, event) =>
     stopAll({ ...state, leased: false }, ReportReason.LeaseLost, event.graceMilliseconds),
 
+  [EventKind.TargetWatched]: (state, { silent }) => {
+    const open = silent ? [...state.attempts.values()].filter(({ atTarget }) => atTarget) : []
+    return { state: { ...state, targetSilent: silent }, effects: open.map(({ key }) => ({ kind: EffectKind.AbortTarget, key })) }
+  },
+
   [EventKind.Leave]: (state) =>
     each({ ...state, leaving: true }, byPhase(state, Phase.Reserved), (next, attempt) => still(forget(next, attempt))),
 
@@ -188,6 +202,7 @@
   if (event.incarnation !== state.incarnation) return ReportReason.OtherIncarnation
   if (state.leaving) return ReportReason.Leaving
   if (!state.leased) return ReportReason.LeaseLost
+  if (state.targetSilent) return ReportReason.TargetSilent
   if (state.refused.includes(name) || state.settled.includes(name)) return ReportReason.WasRefusedBefore
   const attempt = state.attempts.get(name)
   if (attempt !== undefined) return attempt.phase === Phase.Reserved ? undefined : ReportReason.WasRefusedBefore
--- a/src/agent/report.ts
+++ b/src/agent/report.ts
@@ -33,6 +33,7 @@
   PlatformFailed = 'platform-failed',
   StoppedByControl = 'stopped-by-control',
   TargetFailed = 'target-failed',
+  TargetSilent = 'target-silent',
   WasRefusedBefore = 'was-refused-before'
 }
 
--- a/src/agent/target.ts
+++ b/src/agent/target.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
-import { Pool, type Dispatcher } from 'undici'
+import { Client, Pool, type Dispatcher } from 'undici'
 import { Verdict } from '../core/verdict'
 import type { AttemptKey, Content } from '../wire'
 import { keyName } from './attempt'
@@ -9,6 +9,10 @@
 
 /** Milliseconds after which a connection that does not come about is given up. */
 const CONNECT_TIMEOUT_MILLISECONDS = 3_000
+/** Connections kept for asking whether the target still answers. */
+export const QUESTION_CONNECTIONS = 1
+/** Milliseconds that a target has to answer anything. */
+const QUESTION_TIMEOUT_MILLISECONDS = 1_000
 /** The longest time that a timer of the runtime can wait, in milliseconds. */
 const LONGEST_TIMER_MILLISECONDS = 2 ** 31 - 1
 
@@ -30,8 +34,10 @@
 /** Sends requests to the target: each once, on at most so many connections, one request at a time on each. */
 export class TargetClient {
   private readonly open = new Map<string, AbortController>()
+  /** When each open request was sent, by a monotonic clock. */
+  private readonly sentAt = new Map<string, number>()
 
-  private constructor (private readonly pool: Pool) {}
+  private constructor (private readonly pool: Pool, private readonly questions: Client) {}
 
   /**
    * Makes a client; connections are opened when needed.
@@ -40,9 +46,12 @@
    * @returns the client
    */
   static create (baseUrl: string, connections: number): TargetClient {
-    return new TargetClient(new Pool(baseUrl, {
+    const timeout = QUESTION_TIMEOUT_MILLISECONDS
+    const questions = new Client(baseUrl, { pipelining: 1, headersTimeout: timeout, bodyTimeout: timeout, connectTimeout: timeout })
+    const pool = new Pool(baseUrl, {
       connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS
-    }))
+    })
+    return new TargetClient(pool, questions)
   }
 
   /**
@@ -54,13 +63,14 @@
     const controller = new AbortController()
     const name = keyName(request.key)
     this.open.set(name, controller)
+    this.sentAt.set(name, performance.now())
     let late = false
     const timer = request.deadlineIn > 0
       ? setTimeout(() => { late = true; controller.abort() }, Math.min(request.deadlineIn, LONGEST_TIMER_MILLISECONDS))
       : undefined
     const result = await this.exchange(request, controller.signal)
     clearTimeout(timer)
-    if (this.open.get(name) === controller) this.open.delete(name)
+    if (this.open.get(name) === controller) { this.open.delete(name); this.sentAt.delete(name) }
     return late ? result.mapErr((failure) => ({ ...failure, reason: ReportReason.DeadlinePassed })) : result
   }
 
@@ -72,9 +82,33 @@
     this.open.get(keyName(key))?.abort()
   }
 
+  /**
+   * Tells for how long the oldest open request has been open.
+   * @returns milliseconds, 0 where none is open
+   */
+  longestOpen (): number {
+    const oldest = Math.min(...this.sentAt.values())
+    return Number.isFinite(oldest) ? performance.now() - oldest : 0
+  }
+
+  /**
+   * Asks the target for anything at all.
+   * @returns whether it answered, no matter what
+   */
+  async answers (): Promise<boolean> {
+    try {
+      const signal = AbortSignal.timeout(QUESTION_TIMEOUT_MILLISECONDS)
+      const { body } = await this.questions.request({ method: 'GET', path: '/', signal })
+      body.on('error', () => {}).destroy()
+      return true
+    } catch {
+      return false
+    }
+  }
+
   /** Closes all connections. */
   async close (): Promise<void> {
-    await this.pool.destroy()
+    await Promise.all([this.pool.destroy(), this.questions.destroy()])
   }
 
   private async exchange (request: TargetRequest, signal: AbortSignal): Promise<Result<Content, TargetFailure>> {
--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -17,6 +17,10 @@
 const LEASE_MARGIN_MILLISECONDS = 1_000
 /** A worker that was not heard of for so long gets no new work, in milliseconds. */
 const SILENT_MILLISECONDS = 2_500
+/** The reason by which an agent says that its target answers nothing. */
+const TARGET_SILENT = 'target-silent'
+/** A worker whose target is silent is left alone for so long before it is tried again, in milliseconds. */
+const AVOID_MILLISECONDS = 2_000
 /** Time between the request to checkpoint and the stop, in milliseconds. */
 const STOP_GRACE_MILLISECONDS = 2_000
 
@@ -34,6 +38,8 @@
   readonly worker: string
   readonly incarnation: string
   heardAt: number
+  /** Until then the worker gets no new work, because its agent said that the target is silent; milliseconds since the epoch. */
+  avoidUntil: number
   inForce: number
 }
 
@@ -112,8 +118,8 @@
   silent (now: number): ReadonlySet<string> {
     const silent = new Set<string>()
     for (const [worker, heardAt] of this.lastHeard) {
-      const attached = this.streams.has(worker)
-      if (!attached || heardAt + SILENT_MILLISECONDS < now) silent.add(worker)
+      const stream = this.streams.get(worker)
+      if (stream === undefined || stream.avoidUntil > now || heardAt + SILENT_MILLISECONDS < now) silent.add(worker)
     }
     return silent
   }
@@ -158,7 +164,7 @@
   private announce (call: AgentCall, announce: wire.Announce): void {
     const earlier = this.streams.get(announce.worker)
     if (earlier !== undefined && earlier.call !== call) earlier.call.end()
-    const stream: AgentStream = { call, worker: announce.worker, incarnation: announce.incarnation, heardAt: Date.now(), inForce: 0 }
+    const stream: AgentStream = { call, worker: announce.worker, incarnation: announce.incarnation, heardAt: Date.now(), avoidUntil: 0, inForce: 0 }
     this.streams.set(announce.worker, stream)
     this.byCall.set(call, stream)
     this.lastHeard.set(announce.worker, stream.heardAt)
@@ -176,10 +182,11 @@
     })
   }
 
-  private reservationReply (stream: AgentStream, { key, granted }: wire.ReservationReply): void {
+  private reservationReply (stream: AgentStream, { key, granted, reason }: wire.ReservationReply): void {
     const job = key === undefined ? undefined : this.ports.head().jobs.get(key.job)
     if (key === undefined || job?.state !== JobState.Reserved || job.attempt?.number !== key.attempt) return
     if (!granted) {
+      if (reason === TARGET_SILENT) stream.avoidUntil = Date.now() + AVOID_MILLISECONDS
       this.submit({ kind: TransactionKind.ReleaseJob, at: Date.now(), ...key, reason: Reason.MemberRefused })
       return
     }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -64,7 +64,7 @@
   memoryMegabytes: Type.Integer({ minimum: 1, maximum: 4_194_304 }),
   platform: base,
   target: base,
-  connections: Type.Integer({ minimum: 1, maximum: 64, default: 64, description: 'most connections to the target' }),
+  connections: Type.Integer({ minimum: 4, maximum: 64, default: 64, description: 'most connections to target and platform in all, three of them for the platform and for asking the target whether it answers' }),
   stopDeadlineSeconds,
   metrics: Type.Optional(address)
 }, strict)
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -11,6 +11,8 @@
   FailEverything = 'fail-everything',
   /** Does the work and never answers. */
   Hang = 'hang',
+  /** Takes every request, questions too, and answers nothing. */
+  Silent = 'silent',
   /** Closes the connection before reading the request. */
   Refuse = 'refuse',
   /** Does the work, then sends half of the answer and closes the connection. */
@@ -102,6 +104,7 @@
   private async take (request: IncomingMessage, response: ServerResponse, handler: RequestHandler): Promise<void> {
     const { method = 'GET', url: path = '/', headers } = request
     const settingFault = path === '/faults'
+    if (!settingFault && this.order.fault === Fault.Silent) return
     const order = settingFault || method === 'GET' ? { fault: Fault.None } : this.draw(method)
     if (order.fault === Fault.Refuse) { request.socket.destroy(); return }
     repeatAnswer(request.socket)
@@ -136,6 +139,7 @@
   [Fault.FailEverything]: sendWhole,
   [Fault.Refuse]: sendWhole,
   [Fault.Hang]: () => {},
+  [Fault.Silent]: () => {},
   [Fault.HalfBody]: (response, reply) => {
     response.writeHead(reply.status, reply.headers)
     response.write(reply.body.subarray(0, Math.ceil(reply.body.length / 2)), () => { response.socket?.destroy() })
--- a/test/agent-bench.ts
+++ b/test/agent-bench.ts
@@ -5,6 +5,8 @@
 /** One worker with its stand-ins, a fake of control, and as many agents as a test starts beside it. */
 export class AgentBench {
   readonly agents: Agent[] = []
+  /** Events that the agents have logged. */
+  readonly logged: string[] = []
 
   private constructor (readonly control: FakeControl, readonly platform: PlatformStandIn, public target: TargetStandIn) {}
 
@@ -14,7 +16,7 @@
 
   startAgent (options: Partial<AgentOptions> = {}): Agent {
     const worker = { name: 'w', region: 'r', dataCentre: 'd', rack: 'k', accelerators: 8, slots: 8, processors: 32, memoryMegabytes: 128_000 }
-    const agent = Agent.create({ worker, controlHosts: [this.control.address], platformUrl: this.platform.url, targetUrl: this.target.url, ...options })
+    const agent = Agent.create({ worker, controlHosts: [this.control.address], platformUrl: this.platform.url, targetUrl: this.target.url, log: (event) => { this.logged.push(event) }, ...options })
     this.agents.push(agent)
     agent.start()
     return agent
--- a/test/agent-failures.test.ts
+++ b/test/agent-failures.test.ts
@@ -22,7 +22,7 @@
 }
 
 test('an answer sent two times is not taken for the answer of the next request on the connection', async () => {
-  await bench.attach({ connections: 3 })
+  await bench.attach({ connections: 4 })
   bench.target.fail({ fault: Fault.Twice, count: 1 })
   expect(summary(await bench.control.run(key, short))).toBe('finished ran')
   expect(summary(await bench.control.run(other, short))).toBe('failed may have run answer-of-another')
@@ -143,7 +143,7 @@
 })
 
 test('no more than the slots and connections of the worker are given', async () => {
-  await bench.attach({ connections: 12 })
+  await bench.attach({ connections: 13 })
   const keys = Array.from({ length: 14 }, (_, number) => ({ job: `job${number}`, attempt: 1 }))
   for (const [position, each] of keys.entries()) bench.control.reserve(each, { slots: position < 10 ? 1 : 0 })
   const replies = await Promise.all(keys.map((each) => bench.control.reply(each)))
