--- /dev/null
+++ b/measurements/capacity-processes.ts
@@ -0,0 +1,148 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { readFileSync } from 'node:fs'
+import { createConnection, createServer, type Server, type Socket } from 'node:net'
+import { createInterface } from 'node:readline'
+import * as grpc from '@grpc/grpc-js'
+import { ControlHost } from '../src/control/index'
+import { AgentMessage, ControlClient, ControlMessage, type ConfigurationUpdate, type EntryMessage } from '../src/wire/index'
+
+/** Ticks of the processor clock in a second, as /proc counts them. */
+const TICKS_PER_SECOND = 100
+
+/** What a process holds, in kilobytes. */
+export interface Memory {
+  readonly resident: number
+  readonly proportional: number
+  readonly anonymous: number
+}
+
+/**
+ * Reads what a process has used of the processor.
+ * @param pid - the process
+ * @returns milliseconds of processor time
+ */
+export function processorMilliseconds (pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ')
+  return (Number(fields[11]) + Number(fields[12])) * 1_000 / TICKS_PER_SECOND
+}
+
+/**
+ * Reads what a process holds in memory.
+ * @param pid - the process
+ * @returns kilobytes
+ */
+export function memoryOf (pid: number): Memory {
+  const rollup = readFileSync(`/proc/${pid}/smaps_rollup`, 'utf8')
+  const field = (name: string): number => Number(new RegExp(`^${name}:\\s+(\\d+) kB`, 'm').exec(rollup)?.[1] ?? 0)
+  return { resident: field('Rss'), proportional: field('Pss'), anonymous: field('Anonymous') }
+}
+
+/** A child that prints JSON lines. */
+export class Child {
+  private readonly lines: unknown[] = []
+  private wake: () => void = () => {}
+
+  private constructor (private readonly child: ChildProcess) {
+    createInterface({ input: child.stdout! }).on('line', (line) => {
+      if (line.startsWith('{')) this.lines.push(JSON.parse(line))
+      this.wake()
+    })
+  }
+
+  static start (command: string, parameters: readonly string[]): Child {
+    return new Child(spawn(command, parameters, { stdio: ['pipe', 'pipe', 'inherit'] }))
+  }
+
+  get pid (): number { return this.child.pid! }
+
+  send (message: object): void { this.child.stdin!.write(`${JSON.stringify(message)}\n`) }
+
+  async next<Line> (): Promise<Line> {
+    while (this.lines.length === 0) await new Promise<void>((resolve) => { this.wake = resolve })
+    return this.lines.shift() as Line
+  }
+
+  async stop (): Promise<void> {
+    if (this.child.exitCode !== null) return
+    await new Promise((resolve) => { this.child.once('exit', resolve); this.child.kill('SIGKILL') })
+  }
+}
+
+/** Passes a connection on and counts its bytes. */
+export class CountingProxy {
+  up = 0
+  down = 0
+  private server!: Server
+
+  static async create (target: string): Promise<CountingProxy> {
+    const proxy = new CountingProxy()
+    const [host, port] = target.split(':')
+    proxy.server = createServer((near: Socket) => {
+      const far = createConnection(Number(port), host)
+      near.on('data', (data) => { proxy.up += data.length; far.write(data) })
+      far.on('data', (data) => { proxy.down += data.length; near.write(data) })
+      for (const [one, other] of [[near, far], [far, near]] as const) one.on('close', () => other.destroy()).on('error', () => other.destroy())
+    })
+    await new Promise<void>((resolve) => { proxy.server.listen(0, '127.0.0.1', resolve) })
+    return proxy
+  }
+
+  get address (): string { return `127.0.0.1:${(this.server.address() as { port: number }).port}` }
+  close (): void { this.server.close() }
+}
+
+/** Child: one control host that founds its own cluster. */
+export async function runControl (address: string, folder: string): Promise<void> {
+  const created = await ControlHost.create({ host: 'one', address, folder, voters: [address], log: (event) => { if (event === 'leading') process.stdout.write('{"leading":true}\n') } })
+  if (created.isErr()) throw created.error
+  created.value.start()
+}
+
+interface LightAgent {
+  readonly write: (message: AgentMessage) => void
+  number: number
+}
+
+const direct = { 'grpc.use_local_subchannel_pool': 1 }
+
+/** Child: many light agents, each with its own connection, or entries; reports when each update came. */
+export async function runStreams (address: string, from: number, count: number, entries: number): Promise<void> {
+  const agents = Array.from({ length: count }, (_, position) => lightAgent(address, from + position))
+  for (let position = 0; position < entries; position++) lightEntry(address, position)
+  setInterval(() => {
+    for (const agent of agents) agent.write(AgentMessage.fromPartial({ message: { $case: 'heartbeat', value: { inForce: agent.number } } }))
+  }, 1_000)
+  await new Promise(() => {})
+}
+
+function arrived (number: number, bytes: number): void {
+  process.stdout.write(`${JSON.stringify({ number, at: performance.timeOrigin + performance.now(), bytes })}\n`)
+}
+
+function lightAgent (address: string, position: number): LightAgent {
+  const client = new ControlClient(address, grpc.credentials.createInsecure(), direct)
+  const call = client.attach()
+  const agent: LightAgent = { number: 0, write: (message) => { call.write(message) } }
+  call.on('error', () => {})
+  call.on('data', (message: ControlMessage) => {
+    if (message.message?.$case !== 'update') return
+    agent.number = message.message.value.number
+    arrived(agent.number, ControlMessage.encode(message).finish().length)
+  })
+  const worker = `worker-${position}`
+  agent.write(AgentMessage.fromPartial({ message: { $case: 'announce', value: { worker, incarnation: `${worker}-a`, region: 'one', dataCentre: 'one', rack: `rack-${Math.floor(position / 8)}`, accelerators: 8, slots: 8, processors: 64, memoryMegabytes: 131_072 } } }))
+  return agent
+}
+
+function lightEntry (address: string, position: number): void {
+  const client = new ControlClient(address, grpc.credentials.createInsecure(), direct)
+  const call = client.follow()
+  let number = 0
+  call.on('error', () => {})
+  call.on('data', (update: ConfigurationUpdate) => {
+    if (update.number === number) return
+    number = update.number
+    arrived(number, update.sectionsJson.length)
+    call.write({ entry: `entry-${position}`, inForce: number } satisfies EntryMessage)
+  })
+}
--- a/src/command/audit.ts
+++ b/src/command/audit.ts
@@ -72,17 +72,11 @@
   }
 
   private async report (text: string): Promise<ExitCode> {
-    const { verifyRecord } = await import('../core/record-verify')
-    const { parseExport, reportOnAccount } = await import('./audit-account')
-    const lines = linesOf(text)
-    const { faults } = verifyRecord(lines)
-    for (const fault of faults) this.complain(fault.text)
-    if (faults.length > 0) return ExitCode.CheckFailed
-    const report = reportOnAccount(parseExport(lines), this.account)
-    this.print(report, () => [
-      ...report.lines,
-      `${report.accepted} accepted, ${report.finished} finished, ${report.open} open, ${report.refused} refusals, ${report.endedTwice.length} ended twice`
-    ])
+    const { accountStatement, statementLines } = await import('../core/account-statement')
+    const statement = accountStatement(linesOf(text), this.account)
+    for (const fault of statement.verification.faults) this.complain(fault.text)
+    if (statement.verification.faults.length > 0) return ExitCode.CheckFailed
+    this.print(statement, () => statementLines(statement))
     return ExitCode.Done
   }
 }
