Answer a resend whatever numbers it read

Tried by hand: configuration put reads the numbers itself, so the same command after a lost answer carried the numbers that its own change had moved, and was refused as another change under the same identifier. The digest of a request is of team and sections only.

--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -148,13 +148,13 @@
 }
 
 /**
- * Digest by which a resend is told from another change under the same identifier.
+ * Digest by which a resend is told from another change under the same identifier. The numbers that were read
+ * do not count: a writer that lost its answer and reads again finds the numbers that its own change moved.
  * @param request - what the writer sent, before defaults are filled in
  * @returns SHA-256 in hexadecimal; white space and the order of fields do not count
  */
 export function requestDigest (request: PutRequest): string {
-  const numbers = request.read.map(({ section, number }) => [section, number]).sort()
-  return canonicalDigest([request.team, numbers, JSON.parse(request.sectionsJson)])
+  return canonicalDigest([request.team, JSON.parse(request.sectionsJson)])
 }
 
 /**
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,7 +9,7 @@
 export interface StoredPut {
   readonly team: string
   readonly requestIdentifier: string
-  /** SHA-256 of team, numbers and sections as they were sent. */
+  /** SHA-256 of team and sections as they were sent. */
   readonly digest: string
   /** The number of the whole document after the put. */
   readonly number: number
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -119,6 +119,7 @@
     expect([again.outcome.isOk(), again.state.configuration.number, again.lines.length]).toEqual([true, 3, 0])
     const spaced = { ...first, sectionsJson: JSON.stringify(JSON.parse(first.sectionsJson), null, 2) }
     expect(checkPut(later, spaced)._unsafeUnwrap().answered).toEqual(answer)
+    expect(checkPut(later, request(later, { limits: { attemptsPerJob: 2 } }, 'lost'))._unsafeUnwrap().answered).toEqual(answer)
   })
 
   test('the same identifier with other content is an error; another team may use it', () => {
