Share the start and the end of the demos

Cause: duplicates named the same main in three demos. Change: onSystem starts, runs, stops and reports.

--- a/demo/cluster.ts
+++ b/demo/cluster.ts
@@ -194,8 +194,14 @@
   })
 }
 
+/** The document of the demo, as far as it reads it. */
+export interface DemoDocument {
+  readonly clientAccounts: ReadonlyArray<{ readonly name: string }>
+  readonly [section: string]: unknown
+}
+
 /** The example document, with the demo's tokens in place of the example's. */
-export function demoDocument (): { readonly clientAccounts: ReadonlyArray<{ readonly name: string }>, readonly [section: string]: unknown } {
+export function demoDocument (): DemoDocument {
   const document = JSON.parse(readFileSync('examples/song-huong.json', 'utf8')) as Record<string, any>
   const clientAccounts = document.clientAccounts.map((account: { name: string }) => ({ ...account, queuedJobs: 5_000, tokens: [tokenDigest(accountToken(account.name))] }))
   const teams = [{ name: 'operators', sections: ['clientAccounts', 'guarantees', 'jobs', 'limits', 'placement', 'maintenance', 'teams'], tokens: [tokenDigest(OPERATOR_TOKEN)] }]
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -1,9 +1,9 @@
 // Runs the main job of bramleyflow on real processes and counts, from what the callers and the stand-ins saw,
 // whether each promise of the brief was kept. Exits 1 if one was broken.
 import { call, operate, type Told } from './callers'
-import { Cluster, demoDocument, WORKERS } from './cluster'
-import { count, judgeAnswers, judgeGangs, report, stopAll, targetRuns } from './judge'
-import { leaderOf, mixedJob, putDocument, sleep, until } from './load'
+import { WORKERS, type Cluster } from './cluster'
+import { count, judgeAnswers, judgeGangs, targetRuns } from './judge'
+import { leaderOf, mixedJob, onSystem, sleep, until } from './load'
 
 const JOBS = 300
 const LOAD_MILLISECONDS = 12_000
@@ -84,29 +84,11 @@
   count('a leaving target gets no new work after a few seconds', `${newRuns} of 40 later jobs at the drained worker`, newRuns === 0)
 }
 
-async function main (): Promise<void> {
-  const began = Date.now()
-  const document = demoDocument()
-  const accounts = document.clientAccounts.map((account) => account.name)
-  const guarantees = document.guarantees as ExampleGuarantee[]
-  const cluster = await Cluster.create()
-  try {
-    await putDocument(cluster, document)
-    await until('all workers announced', async () => (await operate(cluster, 'GET', '/workers')).body.workers.length === WORKERS, 15_000)
-    console.log(`ready after ${Date.now() - began} ms: 3 control processes, 2 entries, ${WORKERS} agents`)
-    const told = await runLoad(cluster, accounts)
-    judgeAnswers(told, targetRuns(cluster.workers))
-    judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
-    const guarantee = guarantees[0]
-    if (guarantee !== undefined) await judgeReclaim(cluster, accounts, guarantee)
-    await judgeDrain(cluster, accounts)
-  } finally {
-    await stopAll(cluster, 2)
-  }
-  report(began)
-}
-
-await main().catch((error: Error) => {
-  console.error(error.message)
-  process.exitCode = 1
+await onSystem(2, async ({ cluster, accounts, document }) => {
+  const told = await runLoad(cluster, accounts)
+  judgeAnswers(told, targetRuns(cluster.workers))
+  judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
+  const [guarantee] = document.guarantees as ExampleGuarantee[]
+  if (guarantee !== undefined) await judgeReclaim(cluster, accounts, guarantee)
+  await judgeDrain(cluster, accounts)
 })
--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -4,10 +4,10 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { Fault } from '../stand-ins/index'
-import { call, operate, type Told } from './callers'
-import { Cluster, demoDocument, WORKERS } from './cluster'
-import { judgeAnswers, judgeGangs, report, stopAll, targetRuns } from './judge'
-import { mixedJob, putDocument, sleep, until } from './load'
+import { call, type Told } from './callers'
+import type { Cluster } from './cluster'
+import { judgeAnswers, judgeGangs, targetRuns } from './judge'
+import { mixedJob, onSystem, sleep } from './load'
 
 const SEED = Number(process.argv[2] ?? 20261204)
 const SECONDS = Number(process.argv[3] ?? 40)
@@ -73,26 +73,10 @@
   }
 }
 
-async function main (): Promise<void> {
-  const began = Date.now()
-  console.log(`seed ${SEED}, ${SECONDS} s`)
-  const document = demoDocument()
-  const accounts = document.clientAccounts.map((account) => account.name)
-  const cluster = await Cluster.create()
-  try {
-    await putDocument(cluster, document)
-    await until('all workers announced', async () => (await operate(cluster, 'GET', '/workers')).body.workers.length === WORKERS, 15_000)
-    const end = Date.now() + SECONDS * 1_000
-    const [told] = await Promise.all([load(cluster, accounts, end), strike(cluster, end)])
-    judgeAnswers(told, targetRuns(cluster.workers))
-    judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
-  } finally {
-    await stopAll(cluster, 0)
-  }
-  report(began)
-}
-
-await main().catch((error: Error) => {
-  console.error(error.message)
-  process.exitCode = 1
+console.log(`seed ${SEED}, ${SECONDS} s`)
+await onSystem(0, async ({ cluster, accounts }) => {
+  const end = Date.now() + SECONDS * 1_000
+  const [told] = await Promise.all([load(cluster, accounts, end), strike(cluster, end)])
+  judgeAnswers(told, targetRuns(cluster.workers))
+  judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
 })
--- a/demo/load.ts
+++ b/demo/load.ts
@@ -1,7 +1,8 @@
 // The document, the load and the waiting that the demos share.
 import { randomUUID } from 'node:crypto'
 import { operate, type DemoJob } from './callers'
-import type { Cluster } from './cluster'
+import { Cluster, demoDocument, WORKERS, type DemoDocument } from './cluster'
+import { report, stopAll } from './judge'
 
 /** Waits until something is so; throws after the limit. */
 export async function until (what: string, test: () => Promise<boolean> | boolean, limit: number): Promise<number> {
@@ -46,3 +47,34 @@
   const { body } = await operate(cluster, 'GET', '/control/members')
   return cluster.controls.findIndex((control) => control.address === body.leader)
 }
+
+/** What a run of the demo works on. */
+export interface RunningSystem {
+  readonly cluster: Cluster
+  readonly accounts: readonly string[]
+  readonly document: DemoDocument
+}
+
+/**
+ * Starts a system with the example document, runs something on it, stops it, and reports on the promises.
+ * @param endedOnPurpose - processes that are not there any more when the system is stopped
+ * @param run - what to do with the system
+ */
+export async function onSystem (endedOnPurpose: number, run: (system: RunningSystem) => Promise<void>): Promise<void> {
+  const began = Date.now()
+  const document = demoDocument()
+  const accounts = document.clientAccounts.map((account) => account.name)
+  const cluster = await Cluster.create()
+  try {
+    await putDocument(cluster, document)
+    await until('all workers announced', async () => (await operate(cluster, 'GET', '/workers')).body.workers.length === WORKERS, 15_000)
+    console.log(`ready after ${Date.now() - began} ms: 3 control processes, 2 entries, ${WORKERS} agents`)
+    await run({ cluster, accounts, document })
+  } catch (error) {
+    console.error((error as Error).message)
+    process.exitCode = 1
+  } finally {
+    await stopAll(cluster, endedOnPurpose)
+  }
+  report(began)
+}
--- a/demo/rolling.ts
+++ b/demo/rolling.ts
@@ -1,10 +1,9 @@
 // Restarts every process of a running system, one after the other, under load, and counts that nothing was lost,
 // doubled or wrongly refused. Exits 1 if a promise was broken.
 import { call, type Told } from './callers'
-import { Cluster, demoDocument, WORKERS } from './cluster'
-import { count, judgeAnswers, judgeGangs, report, stopAll, targetRuns } from './judge'
-import { mixedJob, putDocument, sleep, until } from './load'
-import { operate } from './callers'
+import type { Cluster } from './cluster'
+import { count, judgeAnswers, judgeGangs, targetRuns } from './judge'
+import { mixedJob, onSystem, sleep } from './load'
 
 const BETWEEN_JOBS_MILLISECONDS = 40
 
@@ -33,32 +32,16 @@
   }
 }
 
-async function main (): Promise<void> {
-  const began = Date.now()
-  const document = demoDocument()
-  const accounts = document.clientAccounts.map((account) => account.name)
-  const cluster = await Cluster.create()
-  try {
-    await putDocument(cluster, document)
-    await until('all workers announced', async () => (await operate(cluster, 'GET', '/workers')).body.workers.length === WORKERS, 15_000)
-    let over = false
-    const loading = load(cluster, accounts, () => over)
-    await restartAll(cluster)
-    over = true
-    const told = await loading
-    judgeAnswers(told, targetRuns(cluster.workers))
-    judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
-    const unfinished = told.filter((one) => one.status !== 200)
-    count('a planned restart costs no job', `${unfinished.length} of ${told.length} not finished`, unfinished.length === 0)
-    const graceful = cluster.stops.filter((code) => code === 0).length
-    count('every planned restart is graceful', `${graceful} of ${cluster.stops.length} ended with 0`, graceful === cluster.stops.length)
-  } finally {
-    await stopAll(cluster, 0)
-  }
-  report(began)
-}
-
-await main().catch((error: Error) => {
-  console.error(error.message)
-  process.exitCode = 1
+await onSystem(0, async ({ cluster, accounts }) => {
+  let over = false
+  const loading = load(cluster, accounts, () => over)
+  await restartAll(cluster)
+  over = true
+  const told = await loading
+  judgeAnswers(told, targetRuns(cluster.workers))
+  judgeGangs(cluster.workers, new Map(told.map(({ job }) => [job.identifier, job.workers])))
+  const unfinished = told.filter((one) => one.status !== 200)
+  count('a planned restart costs no job', `${unfinished.length} of ${told.length} not finished`, unfinished.length === 0)
+  const graceful = cluster.stops.filter((code) => code === 0).length
+  count('every planned restart is graceful', `${graceful} of ${cluster.stops.length} ended with 0`, graceful === cluster.stops.length)
 })
