Leave a silent leader before tasks must end; let lost reservations expire

Cause: with a lease of four heartbeats an agent noticed a silent leader after 2.5 of them and could dial it again for a second, so that the lease ended first. A leader that died between the reservation and its log entry left the reservation with the agent for ever. Change: a leader is left after 1.75 silent heartbeats and dialled last, a dialled host has 500 ms to say something; a reservation is held for 10 s at most.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -9,24 +9,29 @@
 import { actsAt, LEASE_MARGIN_SHARE, noLease, renew, sendHeartbeat, type Lease } from './lease'
 import { occupies } from './limits'
 import { eventOf, reportMessage, reservationMessage } from './messages'
-import { PLATFORM_CONNECTIONS, PlatformClient } from './platform'
+import { PlatformClient } from './platform'
 import { ReportReason } from './report'
 import { ControlStream } from './stream'
 import { QUESTION_CONNECTIONS, TargetClient } from './target'
 import { healthyTarget, isQuestionDue, questioned, type TargetHealth } from './target-watch'
 
-/** Connections to the worker's target and platform, in all. */
+/** Connections to the worker's target. */
 export const DEFAULT_CONNECTIONS = 64
 /** Milliseconds between two looks at the platform while something runs there. */
 const WATCH_MILLISECONDS = 1_000
 /** Looks at the platform for one look at what its tasks use. */
 const WATCHES_PER_USAGE = 5
+/** Milliseconds that a reservation is held for its start; control gives up its own far sooner. */
+const RESERVATION_MILLISECONDS = 10_000
 /** Milliseconds after which an unacknowledged report is sent again. */
 const RESEND_MILLISECONDS = 3_000
 /** Milliseconds between two looks at what is left while the agent stops. */
 const STOP_CHECK_MILLISECONDS = 20
-/** Heartbeat intervals of silence after which the leader counts as gone. */
-const SILENT_HEARTBEATS = 2.5
+/**
+ * Heartbeat intervals of silence after which the leader counts as gone. With a lease of four heartbeats, of which a
+ * quarter is margin, this leaves more than one interval to find the next leader before tasks must end.
+ */
+const SILENT_HEARTBEATS = 1.75
 /** Share of the stop's deadline in which tasks may finish by themselves. */
 const FINISH_SHARE = 0.5
 /** Share of the stop's deadline in which a checkpoint may be made. */
@@ -41,7 +46,7 @@
   readonly controlHosts: readonly string[]
   readonly platformUrl: string
   readonly targetUrl: string
-  /** The most connections to target and platform in all, {@link DEFAULT_CONNECTIONS} where not given. */
+  /** The most connections to the target, {@link DEFAULT_CONNECTIONS} where not given. */
   readonly connections?: number
   /** Plain text to control where none are given. */
   readonly credentials?: ChannelCredentials
@@ -89,7 +94,7 @@
   private resendTimer?: NodeJS.Timeout
 
   private constructor (private readonly options: AgentOptions) {
-    const connections = (options.connections ?? DEFAULT_CONNECTIONS) - PLATFORM_CONNECTIONS - QUESTION_CONNECTIONS
+    const connections = Math.max(1, (options.connections ?? DEFAULT_CONNECTIONS) - QUESTION_CONNECTIONS)
     const { accelerators, slots } = options.worker
     this.state = initialAgentState(randomUUID(), { accelerators, slots, connections })
     this.platform = PlatformClient.create(options.platformUrl)
@@ -193,6 +198,7 @@
 
   private async watch (): Promise<void> {
     this.watchTarget()
+    this.dispatch({ kind: EventKind.ReservationsExpire, reservedBefore: Date.now() - RESERVATION_MILLISECONDS })
     if (this.onPlatform().length === 0 && this.state.leftovers.size === 0) return
     if (this.watches++ % WATCHES_PER_USAGE === 0) await this.lookAtUsage()
     await this.look()
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -45,6 +45,8 @@
   readonly key: AttemptKey
   readonly phase: Phase
   readonly resources: Resources
+  /** Milliseconds since the epoch. */
+  readonly reservedAt: number
   readonly order?: Order
   /** The platform may have a task of this attempt. */
   readonly onPlatform: boolean
@@ -108,6 +110,7 @@
   GraceOver = 'grace-over',
   LeaseGained = 'lease-gained',
   LeaseEnded = 'lease-ended',
+  ReservationsExpire = 'reservations-expire',
   Leave = 'leave',
   StopAll = 'stop-all',
   /** The target does not answer any more, or answers again. */
@@ -118,7 +121,7 @@
 
 /** Something that happened; time comes in where it matters. */
 export type AgentEvent =
-  | Keyed & { readonly kind: EventKind.Reserve, readonly resources: Resources, readonly incarnation: string }
+  | Keyed & { readonly kind: EventKind.Reserve, readonly resources: Resources, readonly incarnation: string, readonly now: number }
   | Keyed & { readonly kind: EventKind.Release }
   | Keyed & { readonly kind: EventKind.Start, readonly order: Order, readonly incarnation: string, readonly now: number }
   | Keyed & { readonly kind: EventKind.Stop, readonly mode: StopMode, readonly graceMilliseconds: number }
@@ -134,6 +137,8 @@
   | Keyed & { readonly kind: EventKind.GraceOver }
   | { readonly kind: EventKind.LeaseGained }
   | { readonly kind: EventKind.LeaseEnded, readonly graceMilliseconds: number }
+  /** A leader that died between the reservation and its log entry never releases it. */
+  | { readonly kind: EventKind.ReservationsExpire, readonly reservedBefore: number }
   | { readonly kind: EventKind.Leave }
   | { readonly kind: EventKind.TargetWatched, readonly silent: boolean }
   | { readonly kind: EventKind.StopAll, readonly reason: ReportReason, readonly graceMilliseconds: number }
--- a/src/agent/attempts.ts
+++ b/src/agent/attempts.ts
@@ -55,7 +55,7 @@
     const reason = refusalOf(state, event)
     const reply: Effect = { kind: EffectKind.Reply, key: event.key, granted: reason === undefined, reason: reason ?? ReportReason.None }
     if (reason !== undefined || state.attempts.has(keyName(event.key))) return { state, effects: [reply] }
-    return { state: put(state, newAttempt(event.key, Phase.Reserved, event.resources)), effects: [reply] }
+    return { state: put(state, { ...newAttempt(event.key, Phase.Reserved, event.resources), reservedAt: event.now }), effects: [reply] }
   },
 
   [EventKind.Release]: (state, { key }) => {
@@ -151,8 +151,10 @@
     return { state: { ...state, targetSilent: silent }, effects: open.map(({ key }) => ({ kind: EffectKind.AbortTarget, key })) }
   },
 
-  [EventKind.Leave]: (state) =>
-    each({ ...state, leaving: true }, byPhase(state, Phase.Reserved), (next, attempt) => still(forget(next, attempt))),
+  [EventKind.ReservationsExpire]: (state, { reservedBefore }) =>
+    drop(state, byPhase(state, Phase.Reserved).filter(({ reservedAt }) => reservedAt < reservedBefore)),
+
+  [EventKind.Leave]: (state) => drop({ ...state, leaving: true }, byPhase(state, Phase.Reserved)),
 
   [EventKind.StopAll]: (state, event) => stopAll(state, event.reason, event.graceMilliseconds)
 }
@@ -234,7 +236,7 @@
 }
 
 function stopAll (state: AgentState, reason: ReportReason, graceMilliseconds: number): Step {
-  const dropped = each(state, byPhase(state, Phase.Reserved), (next, attempt) => still(forget(next, attempt)))
+  const dropped = drop(state, byPhase(state, Phase.Reserved))
   const running = [...byPhase(state, Phase.Starting), ...byPhase(state, Phase.Running)]
   return each(dropped.state, running, (next, attempt) =>
     beginStop(next, attempt, StopMode.Checkpoint, graceMilliseconds, reason))
@@ -302,6 +304,10 @@
   return { ...state, attempts: without(state.attempts, name), refused: remember(state.refused, name) }
 }
 
+function drop (state: AgentState, reservations: readonly Attempt[]): Step {
+  return each(state, reservations, (next, attempt) => still(forget(next, attempt)))
+}
+
 function again (state: AgentState, attempt: Attempt): Step {
   return attempt.report === undefined ? still(state) : { state, effects: [{ kind: EffectKind.Report, key: attempt.key, report: attempt.report }] }
 }
@@ -320,7 +326,7 @@
 }
 
 function newAttempt (key: AttemptKey, phase: Phase, resources: Resources): Attempt {
-  return { key, phase, resources, onPlatform: false, atTarget: false, adopted: false, acknowledged: false }
+  return { key, phase, resources, reservedAt: 0, onPlatform: false, atTarget: false, adopted: false, acknowledged: false }
 }
 
 function find (state: AgentState, key: AttemptKey): Attempt | undefined {
--- a/src/agent/messages.ts
+++ b/src/agent/messages.ts
@@ -11,8 +11,8 @@
 const noKey: AttemptKey = { job: '', attempt: 0 }
 
 const conversions: Conversions = {
-  reserve: ({ key = noKey, acceleratorMask, slots, processors, memoryMegabytes, incarnation }) => ({
-    kind: EventKind.Reserve, key, incarnation, resources: { mask: acceleratorMask, slots, processors, memoryMegabytes }
+  reserve: ({ key = noKey, acceleratorMask, slots, processors, memoryMegabytes, incarnation }, now) => ({
+    kind: EventKind.Reserve, key, incarnation, now, resources: { mask: acceleratorMask, slots, processors, memoryMegabytes }
   }),
   release: ({ key = noKey }) => ({ kind: EventKind.Release, key }),
   start: ({ key = noKey, incarnation, lead, idempotent, checkpointable, deadline, answerBytesLimit, payload }, now) => ({
--- a/src/agent/platform.ts
+++ b/src/agent/platform.ts
@@ -6,7 +6,7 @@
 import { Backoff } from './backoff'
 
 /** Connections to the platform on the same host. */
-export const PLATFORM_CONNECTIONS = 2
+const PLATFORM_CONNECTIONS = 2
 /** Milliseconds without an answer after which the platform is asked again. */
 const ANSWER_TIMEOUT_MILLISECONDS = 2_000
 /** Times that a start is sent before its outcome is called unknown. */
--- a/src/agent/stream.ts
+++ b/src/agent/stream.ts
@@ -5,7 +5,7 @@
 /** Bounds of the wait before the next control host is dialled, in milliseconds. */
 const RECONNECT_MILLISECONDS = { first: 20, longest: 500 }
 /** Milliseconds in which a dialled host must say something. */
-const FIRST_MESSAGE_MILLISECONDS = 1_000
+const FIRST_MESSAGE_MILLISECONDS = 500
 /** Leaders followed at once, one after another, before the next dial waits. */
 const FOLLOWED_REDIRECTIONS = 2
 /** Milliseconds that the leader has to end its side when the agent ends the stream. */
@@ -121,6 +121,7 @@
 
   private dial (host: string): void {
     if (!this.running) return
+    this.tryLast(host)
     const client = new ControlClient(host, this.channelCredentials, channelOptions)
     const call = client.attach()
     const connection = { client, call, host }
@@ -167,9 +168,13 @@
   }
 
   private nextHost (): string {
-    const host = this.hosts[this.next % this.hosts.length] ?? ''
-    this.next = (this.next + 1) % this.hosts.length
-    return host
+    return this.hosts[this.next] ?? ''
+  }
+
+  /** A host that goes silent must not be the first to be dialled again. */
+  private tryLast (host: string): void {
+    const position = this.hosts.indexOf(host)
+    if (position >= 0) this.next = (position + 1) % this.hosts.length
   }
 }
 
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -1,8 +1,11 @@
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { expectedAnswer, Fault, TargetStandIn } from '../stand-ins'
 import { AgentBench, summary } from './agent-bench'
 import { FakeControl } from './fake-control'
 
+// A wait for what never comes ends with the test.
+vi.setConfig({ testTimeout: 20_000 })
+
 let bench: AgentBench
 beforeEach(async () => { bench = await AgentBench.create() })
 afterEach(async () => { await bench.close() })
