--- a/test/agent-failures.test.ts
+++ b/test/agent-failures.test.ts
@@ -142,8 +142,10 @@
   const [silent, next] = [await FakeControl.create(), await FakeControl.create()]
   for (const control of [bench.control, next]) Object.assign(control, { leaseMilliseconds: 4_000, heartbeatMilliseconds: 1_000 })
   silent.mute = true
+  next.leader = bench.control.address
   await bench.attach({ controlHosts: [bench.control.address, silent.address, next.address] })
   await begin(key, { lead: false })
+  Object.assign(next, { leader: '', received: [] })
   bench.control.mute = true
   await until(() => next.announcements.length > 0 || bench.control.reports.length > 0)
   expect(next.announcements[0]?.running).toEqual([key])
--- a/test/fake-control.ts
+++ b/test/fake-control.ts
@@ -12,7 +12,7 @@
 
 /** The control side of one agent's stream, played by a test. It renews leases and does nothing else by itself. */
 export class FakeControl {
-  readonly received: AgentMessage[] = []
+  received: AgentMessage[] = []
   term = 1
   configuration = 1
   leaseMilliseconds = 10_000
