Test the command line: exit codes, serve that cannot start, signals

Commands run in-process against an entry over a fake control host: exit codes by verdict, whole answers, one clear line where serve cannot start (address in use, folder, certificate, settings), a second signal. A process with the agent or control role loads neither nestjs nor a schema compiler, read from the bundle's own import graph. Settings with other faults name missing sections too. vitest takes clipanion through its own resolver, because clipanion's module build imports a folder.

--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -1,26 +1,7 @@
-import { Builtins, Cli } from 'clipanion'
-import { AuditAccount, AuditExport, AuditVerify } from './audit'
-import { ConfigurationCheck, ConfigurationGet, ConfigurationPut, ConfigurationStatus } from './configuration'
-import { ControlAdd, ControlMembers, ControlRemove, ControlTransfer } from './control'
-import { JobAnswer, JobCancel, JobList, JobShow, JobSubmit } from './job'
-import { Load } from './load'
-import { Serve } from './serve'
-import { StandInPlatform, StandInTarget } from './stand-in'
-import { WorkerDrain, WorkerList, WorkerUndrain } from './worker'
+import { Cli } from 'clipanion'
+import { createCommandLine } from './command-line'
 
-const commands = [
-  Serve,
-  ConfigurationGet, ConfigurationPut, ConfigurationCheck, ConfigurationStatus,
-  JobSubmit, JobList, JobShow, JobCancel, JobAnswer,
-  WorkerList, WorkerDrain, WorkerUndrain,
-  ControlMembers, ControlAdd, ControlRemove, ControlTransfer,
-  AuditExport, AuditVerify, AuditAccount,
-  Load, StandInTarget, StandInPlatform,
-  Builtins.HelpCommand, Builtins.VersionCommand
-]
-
-const cli = Cli.from(commands, { binaryName: 'bramleyflow', binaryLabel: 'bramleyflow', binaryVersion: '0.1.0' })
-cli.runExit(process.argv.slice(2), Cli.defaultContext).catch((error: Error) => {
+createCommandLine().runExit(process.argv.slice(2), Cli.defaultContext).catch((error: Error) => {
   process.exitCode = 1
   process.stderr.write(`${error.message}\n`)
 })
--- a/src/command/serve.ts
+++ b/src/command/serve.ts
@@ -44,9 +44,14 @@
   }
 }
 
+const stopSignals = ['SIGTERM', 'SIGINT'] as const
+
 /** Time over a role's deadline for closing its sockets and files. */
 const GRACE_MILLISECONDS = 2_000
 
+/** Time for the last lines to be written before the process is ended. */
+const LINGER_MILLISECONDS = 200
+
 /** Runs the roles of a settings file. */
 export class Serve extends Command {
   static override paths = [['serve']]
@@ -81,18 +86,15 @@
     const shutdown = new Shutdown(running, (line) => this.complain(line))
     const ended = new Promise<ExitCode>((resolve) => {
       const onSignal = (): void => { shutdown.signal().then(resolve, (error: Error) => resolve(this.failed('stop', error))) }
-      process.on('SIGTERM', onSignal)
-      process.on('SIGINT', onSignal)
+      for (const signal of stopSignals) process.on(signal, onSignal)
     })
     try {
       await startAll(settings, running)
     } catch (error) {
       await shutdown.signal()
-      process.exit(this.failed('start', error as Error))
+      return endSoon(this.failed('start', error as Error))
     }
-    const code = await ended
-    // Sockets of a role that did not end in time must not hold the process.
-    process.exit(code)
+    return endSoon(await ended)
   }
 
   private failed (what: string, error: Error): ExitCode {
@@ -105,6 +107,12 @@
   }
 }
 
+/** Sockets of a role that did not end in time must not hold the process. */
+function endSoon (code: ExitCode): ExitCode {
+  setTimeout(() => process.exit(code), LINGER_MILLISECONDS).unref()
+  return code
+}
+
 async function startAll (settings: Settings, running: RunningRole[]): Promise<void> {
   const { readTls } = await import('../settings/index')
   const { startOrder, startRole } = await import('./roles')
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -34,7 +34,7 @@
     .map(([path, address]) => ({ path, value: showValue(address), expected: `an IP number and a port up to ${HIGHEST_PORT}` }))
 }
 
-function roleProblems (settings: Settings): Problem[] {
+function roleProblems (settings: Pick<Settings, 'roles'> & { readonly [section in Role]?: unknown }): Problem[] {
   return Object.values(Role)
     .filter((role) => settings.roles.includes(role) && settings[role] === undefined)
     .map((role) => ({ path: `/${role}`, value: 'nothing', expected: `a section ${role}, because the roles name it` }))
@@ -51,6 +51,12 @@
   return [{ path: '/control/voters', value: showValue(voters), expected: 'each voter once' }]
 }
 
+/** Sections that are missing are named also where the schema found other faults. */
+function missingSections (json: unknown): Problem[] {
+  const roles = (json as Partial<Settings> | undefined)?.roles
+  return Array.isArray(roles) ? roleProblems({ ...json as Settings, roles }) : []
+}
+
 const crossChecks = [addressProblems, roleProblems, controlHostProblems, voterProblems]
 
 function withControlHosts (settings: Settings): Settings {
@@ -63,7 +69,8 @@
  * @returns the settings, or all problems at once
  */
 export function checkSettings (json: unknown): Result<Settings, Problem[]> {
-  return checkAgainst(settingsSchema, json).andThen((settings) => {
+  const checked = checkAgainst(settingsSchema, json).mapErr((problems) => [...problems, ...missingSections(json)])
+  return checked.andThen((settings) => {
     const problems = crossChecks.flatMap((check) => check(settings))
     return problems.length > 0 ? err(problems) : ok(withControlHosts(settings))
   })
