Show operators a page: accounts, guarantees, waiting jobs, the fleet

Plain HTML rendered by the entry, no script, no build chain. A browser cannot send a bearer token, so on this one read-only path the password it asks for is the token; any other path refuses it, so that no page of another origin can make a browser change anything.

--- a/src/entry/access.ts
+++ b/src/entry/access.ts
@@ -38,6 +38,20 @@
   return token === undefined ? undefined : createHash('sha256').update(token).digest()
 }
 
+const BASIC = /^Basic ([A-Za-z0-9+/=]{1,1024})$/i
+
+/**
+ * Takes the token out of the password that a browser asks for, for the page alone.
+ * @param header - the Authorization header
+ * @returns the same as a bearer header; any other header unchanged
+ */
+export function bearerOfBrowser (header: string | undefined): string | undefined {
+  const encoded = header?.match(BASIC)?.[1]
+  if (encoded === undefined) return header
+  const [, ...password] = Buffer.from(encoded, 'base64').toString().split(':')
+  return `Bearer ${password.join(':')}`
+}
+
 interface KnownToken {
   readonly digest: Buffer
   readonly principal: Principal
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -1,6 +1,6 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { notRun, RefusalCode, type Refusal } from '../core/verdict'
-import { PrincipalKind, type Access, type Caller, type Operator, type Principal } from './access'
+import { bearerOfBrowser, PrincipalKind, type Access, type Caller, type Operator, type Principal } from './access'
 import type { ConfigurationCopy } from '../core/configuration-copy'
 import type { FairGate } from './fair-gate'
 import type { EntryMetrics } from './metrics'
@@ -22,6 +22,9 @@
   readonly open: OpenRequests
 }
 
+/** The only path that a browser's own password prompt opens, because it changes nothing. */
+export const PAGE_PATH = '/page'
+
 const openPaths = new Set(['/healthz', '/readyz'])
 const principals = new WeakMap<FastifyRequest, Principal>()
 
@@ -42,7 +45,8 @@
 }
 
 function checkPrincipal (request: FastifyRequest, { access, copy }: AdmissionParts): Refusal | undefined {
-  const principal = access.principalOf(request.headers.authorization, copy.document)
+  const { authorization } = request.headers
+  const principal = access.principalOf(pathOf(request) === PAGE_PATH ? bearerOfBrowser(authorization) : authorization, copy.document)
   if (principal === undefined) return notRun(RefusalCode.Unauthorized, 'a known bearer token is needed')
   principals.set(request, principal)
   return undefined
@@ -84,6 +88,7 @@
     return undefined
   }
   if (parts.open.isStopping) reply.header('connection', 'close')
+  if (refusal.code === RefusalCode.Unauthorized) reply.header('www-authenticate', pathOf(request) === PAGE_PATH ? 'Basic realm="bramleyflow"' : 'Bearer')
   return sendRefusal(reply, refusal)
 }
 
--- a/src/entry/entry-module.ts
+++ b/src/entry/entry-module.ts
@@ -10,6 +10,7 @@
 import { OpenRequests } from './open-requests'
 import { OperationController } from './operation-controller'
 import { OperatorService } from './operator-service'
+import { PageController } from './page-controller'
 
 /** What the controllers work with. */
 export interface EntryParts {
@@ -31,7 +32,7 @@
   static of (parts: EntryParts): DynamicModule {
     return {
       module: EntryModule,
-      controllers: [JobController, ConfigurationController, OperationController, HealthController],
+      controllers: [JobController, ConfigurationController, OperationController, PageController, HealthController],
       providers: [
         JobService,
         OperatorService,
