--- a/test/command.test.ts
+++ b/test/command.test.ts
@@ -119,7 +119,7 @@
   expect((await run('audit', 'verify', whole, '--head', `3:${'0'.repeat(64)}`)).code).toBe(7)
   expect((await run('audit', 'verify', changed)).code).toBe(7)
   expect((await run('audit', 'account', 'hue', '--file', changed)).code).toBe(7)
-  expect((await run('audit', 'account', 'hue', '--file', whole)).out).toContain('1 accepted, 1 finished, 0 open, 0 refusals, 0 ended twice')
+  expect((await run('audit', 'account', 'hue', '--file', whole)).out).toContain('Jobs: 1 accepted, 1 finished once, 0 finished more than once, 0 failed and not run, 0 failed and may have run, 0 cancelled, 0 open.')
 })
 
 const settings = (extra: object): object => ({
