Blame nobody for a restarted agent or a lost lease

Cause: agents report an attempt of an earlier incarnation as failed, and the leader passed it on as a failure, so that a few restarts could quarantine a healthy worker. Change: ends whose reason is nobody's fault reach the policy as lost. Test: the new one printed failed for agent-restarted before and lost after.

--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -51,6 +51,11 @@
   checkpointed: { outcome: AttemptOutcome.Checkpointed, reason: Reason.Checkpointed }
 }
 
+/** Ends that are nobody's fault: neither the worker nor the job is blamed for them. */
+const blamelessReasons: ReadonlySet<Reason> = new Set([
+  Reason.AgentRestarted, Reason.LeaseLost, Reason.Leaving, Reason.NoReservation, Reason.OtherIncarnation, Reason.StoppedByControl, Reason.WasRefusedBefore
+])
+
 /** The leader's side of all agent streams: leases, reservations, commands and reports. */
 export class Agents {
   private readonly streams = new Map<string, AgentStream>()
@@ -208,15 +213,15 @@
       return
     }
     const { outcome, reason } = outcomes[report.outcome] ?? { outcome: AttemptOutcome.Failed, reason: Reason.TargetFailed }
-    const known = Object.values(Reason).find((candidate) => candidate === report.reason)
+    const known = Object.values(Reason).find((candidate) => candidate === report.reason) ?? reason
     this.submit({
       kind: TransactionKind.EndAttempt,
       at,
       ...key,
       worker: stream.worker,
-      outcome,
+      outcome: outcome === AttemptOutcome.Failed && blamelessReasons.has(known) ? AttemptOutcome.Lost : outcome,
       verdict: fromWireVerdict(report.verdict),
-      reason: known ?? reason,
+      reason: known,
       usedMemory: report.usedMemoryMegabytes
     })
   }
