--- a/measurements/capacity.ts
+++ b/measurements/capacity.ts
@@ -71,7 +71,8 @@
   const proxy = await CountingProxy.create(control.address)
   const platform = await PlatformStandIn.create()
   const target = await TargetStandIn.create()
-  const settings = join(mkdtempSync(join(tmpdir(), 'bramleyflow-capacity-')), 'agent.json')
+  const folder = mkdtempSync(join(tmpdir(), 'bramleyflow-capacity-'))
+  const settings = join(folder, 'agent.json')
   writeFileSync(settings, JSON.stringify({
     host: 'worker-1',
     region: 'one',
@@ -96,6 +97,7 @@
   await platform.close()
   await target.close()
   proxy.close()
+  rmSync(folder, { recursive: true })
 }
 
 function submit (control: Control, identifier: string): void {
