--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -214,7 +214,7 @@
 export function stopJob (draft: Draft, transaction: StopJob): Outcome {
   const job = currentJob(draft, transaction, JobState.Running)
   if (job === undefined) return stale(transaction)
-  beginStop(draft, job, transaction.reason, transaction.grace)
+  beginStop(draft, job, transaction.reason, transaction.grace, transaction.beneficiary)
   return ok(undefined)
 }
 
@@ -224,13 +224,14 @@
  * @param job - the job
  * @param reason - why
  * @param grace - milliseconds that the members may take, 0 for the agent's own limit
+ * @param beneficiary - the job for which room is made, if any
  */
-export function beginStop (draft: Draft, job: RunningJob, reason: Reason, grace = 0): void {
+export function beginStop (draft: Draft, job: RunningJob, reason: Reason, grace = 0, beneficiary?: string): void {
   if (job.state === JobState.Stopping) return
   const attempt = { ...job.attempt, stoppingAt: draft.at, stopReason: reason, stopGrace: grace }
   draft.setJob({ ...job, state: JobState.Stopping, attempt })
   for (const member of heldMembers(attempt)) tellMember(draft, job.identifier, attempt, EffectKind.Stop, member.worker)
-  noteMove(draft, TransactionKind.StopJob, job, JobState.Stopping, reason, attempt)
+  noteMove(draft, TransactionKind.StopJob, job, JobState.Stopping, reason, attempt, beneficiary === undefined ? {} : { message: `makes room for ${beneficiary}` })
 }
 
 /**
@@ -450,7 +451,7 @@
   })
 }
 
-type PlaceNote = Pick<RecordEvent, 'home' | 'borrowing' | 'masks'>
+type PlaceNote = Pick<RecordEvent, 'home' | 'borrowing' | 'masks' | 'message'>
 
 function noteMove (draft: Draft, kind: TransactionKind, job: Job, state: JobState, reason: Reason, attempt: Attempt, place: PlaceNote = {}): void {
   draft.note({
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -173,7 +173,7 @@
       if (cleared !== undefined && (best === undefined || cleared.cost < best.cost)) best = { home, ...cleared }
     }
     if (best === undefined) return false
-    for (const job of best.stopped) this.stop(job, Reason.Reclaimed, best.home.graceSeconds * 1_000 * STOP_PART_OF_GRACE)
+    for (const job of best.stopped) this.stop(job, Reason.Reclaimed, best.home.graceSeconds * 1_000 * STOP_PART_OF_GRACE, entry)
     return this.takeHome(entry, best.home, true)
   }
 
@@ -213,7 +213,7 @@
     const cost = this.stopCost((part, job) => urgencyRank[job.specification.urgency] > entry.rank && (!part.atHome || part.account === account))
     const place = placeByStopping(this.fleet, search, cost)
     if (place === undefined) return false
-    for (const job of place.stopped) this.stop(job, Reason.MadeRoomForUrgent, URGENT_STOP_MILLISECONDS)
+    for (const job of place.stopped) this.stop(job, Reason.MadeRoomForUrgent, URGENT_STOP_MILLISECONDS, entry)
     this.hold(entry, place.members)
     return true
   }
@@ -273,7 +273,7 @@
     if (place === undefined) return false
     const waited = (this.now - job.queuedAt) / 1_000 * accelerators
     if (place.lost * this.weights.completionTimeWeight > waited * this.weights.fragmentationWeight) return false
-    for (const name of place.stopped) this.stop(name, Reason.MadeRoomForGang, 0)
+    for (const name of place.stopped) this.stop(name, Reason.MadeRoomForGang, 0, entry)
     this.hold(entry, place.members)
     return true
   }
@@ -348,11 +348,11 @@
     }
   }
 
-  private stop (identifier: string, reason: Reason, grace: number): void {
+  private stop (identifier: string, reason: Reason, grace: number, beneficiary?: Entry): void {
     const job = this.state.jobs.get(identifier)
     if (job?.attempt === undefined || this.stopping.has(identifier)) return
     const key = { at: this.now, job: identifier, attempt: job.attempt.number, reason }
-    if (job.state === JobState.Running) this.transactions.push({ ...key, kind: TransactionKind.StopJob, grace })
+    if (job.state === JobState.Running) this.transactions.push({ ...key, kind: TransactionKind.StopJob, grace, ...(beneficiary === undefined ? {} : { beneficiary: beneficiary.job.identifier }) })
     else if (job.state === JobState.Reserved) this.transactions.push({ ...key, kind: TransactionKind.ReleaseJob })
     else return
     this.stopping.add(identifier)
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -122,6 +122,8 @@
   readonly reason: Reason
   /** Milliseconds that the members may take to checkpoint and stop; 0 or nothing for the agent's own limit. */
   readonly grace?: number
+  /** The job for which room is made. */
+  readonly beneficiary?: string
 }
 
 /** One member's part of an attempt is over, without an answer. */
