--- a/measurements/figures.ts
+++ b/measurements/figures.ts
@@ -34,7 +34,8 @@
 interface Watch {
   readonly started: Map<string, number>
   readonly reclaims: number[]
-  readonly stoppedFor: Map<string, number>
+  /** By account: since when borrowers are being stopped, and for which job. */
+  readonly stoppedFor: Map<string, { readonly job: string, readonly at: number }>
 }
 
 /**
@@ -66,15 +67,17 @@
 
 function observe (watch: Watch, transaction: Transaction, state: State, now: number): void {
   if (transaction.kind === TransactionKind.StopJob && transaction.reason === Reason.Reclaimed && transaction.beneficiary !== undefined) {
-    if (!watch.stoppedFor.has(transaction.beneficiary)) watch.stoppedFor.set(transaction.beneficiary, now)
+    const account = state.jobs.get(transaction.beneficiary)?.specification.account ?? ''
+    if (!watch.stoppedFor.has(account)) watch.stoppedFor.set(account, { job: transaction.beneficiary, at: now })
   }
   if (transaction.kind !== TransactionKind.StartJob) return
   const { job } = transaction
   if (!watch.started.has(job)) watch.started.set(job, now)
-  const since = watch.stoppedFor.get(job)
-  if (since === undefined) return
-  watch.stoppedFor.delete(job)
-  if (state.jobs.get(job)?.attempt?.home !== undefined) watch.reclaims.push((now - since) / 1_000)
+  const account = state.jobs.get(job)?.specification.account ?? ''
+  const since = watch.stoppedFor.get(account)
+  if (since === undefined || (since.job !== job && state.jobs.get(job)?.attempt?.home === undefined)) return
+  watch.stoppedFor.delete(account)
+  watch.reclaims.push((now - since.at) / 1_000)
 }
 
 interface Samples {
--- a/measurements/replay.ts
+++ b/measurements/replay.ts
@@ -40,6 +40,9 @@
   stopping: boolean
 }
 
+/** Messages of different workers take different times, in so many steps of a millisecond. */
+const DELAYS = 4
+
 /** One worker with its agent. */
 class Agent {
   up = true
@@ -51,10 +54,13 @@
   readonly tasks = new Map<string, Task>()
   /** Reports that the leader has not acknowledged. */
   readonly reports = new Map<string, Transaction>()
+  /** Attempts that were ever granted here, whatever became of them. */
+  readonly everGranted = new Set<string>()
   /** Attempts that will never start here. */
   readonly closed = new Set<string>()
 
-  constructor (readonly description: WorkerDescription) {}
+  /** Milliseconds that its messages take more than others'. */
+  constructor (readonly description: WorkerDescription, readonly delay: number) {}
 
   get name (): string { return this.description.name }
 }
@@ -118,7 +124,7 @@
   }
 
   addWorker (description: WorkerDescription): void {
-    this.agents.set(description.name, new Agent(description))
+    this.agents.set(description.name, new Agent(description, this.agents.size % DELAYS))
     this.announce(this.agent(description.name))
   }
 
@@ -244,6 +250,7 @@
   }
 
   private propose (transaction: Transaction): boolean {
+    if (transaction.kind === TransactionKind.StartJob) this.checkGrants(transaction)
     const before = this.state
     const applied = apply(before, transaction)
     this.state = applied.state
@@ -252,11 +259,18 @@
     return applied.outcome.isOk()
   }
 
+  /** A start may be recorded only once every member has granted its part. */
+  private checkGrants ({ job, attempt }: AttemptKey): void {
+    const members = this.state.jobs.get(job)?.attempt?.members ?? []
+    const without = members.filter(({ worker }) => !this.agent(worker).everGranted.has(`${job}/${attempt}`))
+    if (without.length > 0) this.violations.push(`${job}/${attempt}: started without a grant of ${without.map(({ worker }) => worker).join()}`)
+  }
+
   private send (effect: Effect): void {
     if (!('worker' in effect)) return
     const agent = this.agents.get(effect.worker)
     if (agent === undefined) return
-    this.after(this.times.latency, () => { if (agent.up && agent.connected) this.receive(agent, effect) })
+    this.after(this.times.latency + agent.delay, () => { if (agent.up && agent.connected) this.receive(agent, effect) })
   }
 
   private receive (agent: Agent, effect: AgentEffect): void {
@@ -278,6 +292,7 @@
     const incarnation = `${agent.name}-${agent.incarnation}`
     if (member.incarnation !== incarnation || agent.tasks.has(key)) return
     agent.granted.set(key, member.mask)
+    agent.everGranted.add(key)
     this.after(this.times.latency, () => { if (agent.up && agent.connected) this.granted(effect, agent.name, key) })
   }
 
--- a/src/core/pass.ts
+++ b/src/core/pass.ts
@@ -1,5 +1,6 @@
 import { foresee, type AwaitedPlace } from './backfill'
-import { Urgency, type Placement } from './document'
+import { Urgency, type Placement, type Shape } from './document'
+import { memoryNeeded } from './draft'
 import { expectedSeconds, HIGH_QUANTILE } from './estimates'
 import { Shares } from './fairness'
 import { Fleet, type Row } from './fleet'
@@ -56,6 +57,10 @@
   private readonly silent: ReadonlySet<string>
   private awaited: AwaitedPlace | undefined
   private reservations = 0
+  /** Shapes that found no place; first without, then with the awaited place. */
+  private readonly noPlaceFirm: readonly Shape[][] = [[], []]
+  private readonly noPlaceBeside: readonly Shape[][] = [[], []]
+  private readonly noPlaceBorrowing: readonly Shape[][] = [[], []]
 
   private constructor (private readonly state: State, private readonly fleet: Fleet, private readonly queue: Queue, known: Known) {
     this.shares = Shares.create(state)
@@ -143,7 +148,7 @@
     fitting.sort((one, other) => area(one) - area(other))
     const large = fitting.filter((home) => entry.accelerators >= area(home) * LARGE_PART_OF_HOME)
     for (const home of large) if (this.takeHome(entry, home, false)) return true
-    const beside = placeFree(this.fleet, this.search(job, false, false))
+    const beside = this.placeOnce(job, false, false)
     if (beside !== undefined) { this.reserve(entry, beside, Reason.FairShare); return true }
     for (const home of fitting) if (this.takeHome(entry, home, false)) return true
     return this.reclaim(entry, fitting)
@@ -207,7 +212,7 @@
 
   private startOneUrgent (entry: Entry): boolean {
     const search = this.search(entry.job, true, true)
-    const free = placeFree(this.fleet, search)
+    const free = this.placeOnce(entry.job, true, true)
     if (free !== undefined) { this.reserve(entry, free, free.borrowing ? Reason.Borrowed : Reason.Urgent); return true }
     const { account } = entry.job.specification
     const cost = this.stopCost((part, job) => urgencyRank[job.specification.urgency] > entry.rank && (!part.atHome || part.account === account))
@@ -315,13 +320,24 @@
 
   /** A job leaves out the workers on which it failed, as long as others could hold it. */
   private placeFree (job: Job, borrow: boolean, intoAwaited: boolean): Place | undefined {
-    const place = placeFree(this.fleet, this.search(job, borrow, intoAwaited))
+    const place = this.placeOnce(job, borrow, intoAwaited)
     if (place !== undefined || job.failedOn.length === 0) return place
     const others = this.fleet.rows.filter((row) => row.usable && !job.failedOn.includes(row.worker.name)).map((row) => row.worker)
     if (largestGroup(others, job, false) >= job.specification.shape.workers) return undefined
     return placeFree(this.fleet, { ...this.search(job, borrow, intoAwaited), avoid: (worker) => this.silent.has(worker) })
   }
 
+  /** What found no place finds none later in the round, and neither does anything that needs more: places only get fewer. */
+  private placeOnce (job: Job, borrow: boolean, intoAwaited: boolean): Place | undefined {
+    const lists = isFirm(job) ? this.noPlaceFirm : borrow ? this.noPlaceBorrowing : this.noPlaceBeside
+    const failed = lists[intoAwaited ? 1 : 0]!
+    const needed = { ...job.specification.shape, memoryMegabytes: memoryNeeded(job) }
+    if (failed.some((other) => needsNoLess(needed, other))) return undefined
+    const place = placeFree(this.fleet, this.search(job, borrow, intoAwaited))
+    if (place === undefined && job.failedOn.length === 0) failed.push(needed)
+    return place
+  }
+
   private search (job: Job, borrow: boolean, intoAwaited: boolean): Search {
     return { job, weights: this.weights, borrow, intoAwaited, avoid: (worker) => this.avoids(job, worker) }
   }
@@ -376,6 +392,12 @@
   }
 }
 
+/** Whether a shape needs at least as much as another on every count. */
+function needsNoLess (one: Shape, other: Shape): boolean {
+  return one.workers >= other.workers && one.accelerators >= other.accelerators && one.slots >= other.slots && one.processors >= other.processors &&
+    one.memoryMegabytes >= other.memoryMegabytes && (other.workers === 1 || one.within === other.within)
+}
+
 /** What is lost when a job is stopped, in accelerator seconds. */
 function lostSeconds (job: Job, now: number): number {
   const { shape, checkpointable } = job.specification
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -68,7 +68,8 @@
   get size (): number { return this.entries.size }
 
   private bringUpToDate (state: State): void {
-    this.forgetOldRuns(state)
+    const stale = this.forgetOldRuns(state)
+    if (!stale && this.seen.queued === state.queued && this.entries.size === state.queued.size) { this.seen = state; return }
     const before = this.entries
     const after = new Map<string, Entry>()
     const lists = new Map<string, Entry[]>()
@@ -93,8 +94,9 @@
   }
 
   /** Entries whose expected run time has changed much are made anew. */
-  private forgetOldRuns (state: State): void {
-    if (this.seen.estimates === state.estimates) return
+  private forgetOldRuns (state: State): boolean {
+    if (this.seen.estimates === state.estimates) return false
+    const before = this.entries.size
     for (const entry of this.entries.values()) {
       const { account, kind } = entry.job.specification
       const key = estimateKey(account, kind)
@@ -104,6 +106,7 @@
       if (used !== undefined && now <= used * REORDER_FACTOR && used <= now * REORDER_FACTOR) continue
       this.entries.delete(entry.job.identifier)
     }
+    return this.entries.size < before
   }
 
   private entryOf (state: State, job: Job): Entry {
--- a/test/checker.ts
+++ b/test/checker.ts
@@ -103,6 +103,12 @@
   return answer === 'no' ? [`the guarantees said to be kept cannot all be given back: ${owed.map(({ identifier }) => identifier).join(' ')}`] : []
 }
 
+/** A new reservation must leave every guarantee packable that was kept before it. */
+export function brokenReservation (before: State, after: State): string[] {
+  const owed = stillOwed(after).filter(({ identifier }) => claimedKept(before, identifier))
+  return packable(after, owed.map(({ shape }) => shape)) === 'no' ? ['a reservation lies where guarantees can no longer be given back'] : []
+}
+
 function claimedKept (state: State, identifier: string): boolean {
   const home = state.homes.get(identifier)
   const { maintenance } = state.configuration.document
--- a/test/history-runner.ts
+++ b/test/history-runner.ts
@@ -1,7 +1,7 @@
-import { decide, guaranteeStatus, homeAll, JobState, Level, Urgency, type Guarantee, type JobSpecification, type Shape, type Worker, WorkerHealth } from '../src/core/index'
+import { decide, guaranteeStatus, homeAll, JobState, Level, TransactionKind, Urgency, type Guarantee, type JobSpecification, type Shape, type Worker, WorkerHealth } from '../src/core/index'
 import { Random } from '../measurements/random'
 import { Replay, usualTimes, workersOf, type Policy } from '../measurements/replay'
-import { asksFor, brokenRules, brokenStep, packable } from './checker'
+import { asksFor, brokenReservation, brokenRules, brokenStep, packable } from './checker'
 
 /** What a history came to. */
 export interface Outcome {
@@ -31,6 +31,7 @@
   const replay: Replay = Replay.create(policy, { ...usualTimes, tick: 1_000 }, (transaction, state, before, accepted) => {
     if (!accepted) return
     for (const rule of brokenRules(state)) add(`${replay.now} after ${transaction.kind}: ${rule}`)
+    if (transaction.kind === TransactionKind.ReserveJob) for (const rule of brokenReservation(before, state)) add(`${replay.now} ${transaction.job}: ${rule}`)
     if (!('job' in transaction)) return
     const job = state.jobs.get(transaction.job)
     if (job !== undefined) for (const rule of brokenStep(before.jobs.get(transaction.job), job, state)) add(`${replay.now} ${transaction.kind}: ${rule}`)
