--- /dev/null
+++ b/measurements/benchmark-agreement.ts
@@ -0,0 +1,366 @@
+/**
+ * Measures the replicated log: `node scripts/tool.mjs measurements/benchmark-agreement.ts [changes|failover|restart|disk]`.
+ * Without a name all parts run. All traffic stays on the loopback; folders are made in the system's temporary folder.
+ */
+import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
+import { createHistogram, performance, type RecordableHistogram } from 'node:perf_hooks'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtemp, readFile, readdir, rm, stat } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { FolderDisk, type Disk, type DiskFile } from '../src/control/disk'
+import { FRAME_HEADER_BYTES, RECORD_HEADER_BYTES, RecordKind } from '../src/control/records'
+import { Replica, Role, type CommittedEntry, type ReplicaOptions } from '../src/control/replica'
+import { PeerClient } from '../src/wire/index'
+
+const ENTRY_BYTES = 200
+const PART_MILLISECONDS = 3000
+const SLOW_SYNC_MILLISECONDS = 2
+const MANY_WRITERS = 64
+const FAILOVERS = 50
+const RESTART_ENTRIES = 100_000
+const DISK_ENTRIES = 1_000_000
+const STATE_BYTES = 1024 * 1024
+const BATCH = 256
+const NANOSECONDS_PER_MILLISECOND = 1e6
+
+const program = process.argv[1] === undefined ? '' : 'dist/tools/benchmark-agreement.mjs'
+
+/** How a disk treats a sync. */
+interface DiskKind {
+  readonly name: string
+  readonly syncMilliseconds: number
+  readonly oneSyncPerEntry: boolean
+}
+
+interface Host {
+  readonly replica: Replica
+  readonly server: Server
+  readonly address: string
+  onCommit (entries: readonly CommittedEntry[]): void
+  role: Role
+}
+
+function say (name: string, fields: object): void {
+  console.log(JSON.stringify({ measure: name, ...fields }))
+}
+
+function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
+
+function milliseconds (histogram: RecordableHistogram, percentile: number): number {
+  return round(histogram.percentile(percentile) / NANOSECONDS_PER_MILLISECOND)
+}
+
+async function sleep (duration: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, duration))
+}
+
+async function temporaryFolder<T> (use: (folder: string) => Promise<T>): Promise<T> {
+  const folder = await mkdtemp(join(tmpdir(), 'bramleyflow-benchmark-'))
+  try { return await use(folder) } finally { await rm(folder, { recursive: true }) }
+}
+
+async function freeAddress (): Promise<string> {
+  return await new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as { port: number }
+      server.close(() => { resolve(`127.0.0.1:${port}`) })
+    })
+  })
+}
+
+/** A folder whose syncs are slowed, or that syncs after each entry of a batch: the baseline without group commit. */
+class MeasuredDisk {
+  static async create (folder: string, kind: DiskKind): Promise<Disk> {
+    const disk = await FolderDisk.create(folder)
+    const open = disk.open.bind(disk)
+    disk.open = async (name) => measuredFile(await open(name), kind)
+    return disk
+  }
+}
+
+function measuredFile (file: DiskFile, kind: DiskKind): DiskFile {
+  const sync = async (): Promise<void> => {
+    await file.sync()
+    if (kind.syncMilliseconds > 0) await sleep(kind.syncMilliseconds)
+  }
+  const append = async (data: Uint8Array): Promise<void> => {
+    if (!kind.oneSyncPerEntry) { await file.append(data); return }
+    const pieces = Math.max(1, entriesOf(Buffer.from(data.buffer, data.byteOffset, data.byteLength)))
+    const size = Math.ceil(data.length / pieces)
+    for (let piece = 0; piece < pieces; piece++) {
+      await file.append(data.subarray(piece * size, (piece + 1) * size))
+      if (piece < pieces - 1) await sync()
+    }
+  }
+  return { append, sync, close: async () => { await file.close() } }
+}
+
+function entriesOf (frame: Buffer): number {
+  let entries = 0
+  for (let offset = FRAME_HEADER_BYTES; offset < frame.length; offset += RECORD_HEADER_BYTES + frame.readUInt32LE(offset + 1)) {
+    if (frame.readUInt8(offset) === RecordKind.Entry) entries += 1
+  }
+  return entries
+}
+
+async function startHost (folder: string, address: string, bootstrap: readonly string[], extra: Partial<ReplicaOptions> = {}): Promise<Host> {
+  const server = new Server()
+  const created = await Replica.create({
+    folder,
+    address,
+    bootstrap,
+    host: address,
+    server,
+    onCommit: (entries) => { host.onCommit(entries) },
+    onRestore: () => {},
+    takeSnapshot: () => new Uint8Array(STATE_BYTES),
+    onRole: (role) => { host.role = role },
+    log: () => {},
+    ...extra
+  })
+  const host: Host = { replica: created._unsafeUnwrap(), server, address, role: Role.Learner, onCommit: () => {} }
+  await new Promise<void>((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), (error) => { if (error === null) resolve(); else reject(error) })
+  })
+  host.replica.start()
+  return host
+}
+
+async function withCluster<T> (count: number, kind: DiskKind, use: (leader: Host) => Promise<T>): Promise<T> {
+  return await temporaryFolder(async (folder) => {
+    const addresses = await Promise.all(Array.from({ length: count }, freeAddress))
+    const hosts = await Promise.all(addresses.map(async (address, slot) => {
+      const disk = await MeasuredDisk.create(join(folder, String(slot)), kind)
+      return await startHost(join(folder, String(slot)), address, addresses, { disk })
+    }))
+    while (!hosts.some((host) => host.role === Role.Leader)) await sleep(5)
+    const result = await use(hosts.find((host) => host.role === Role.Leader) as Host)
+    await Promise.all(hosts.map(async (host) => { await host.replica.stop(); host.server.forceShutdown() }))
+    return result
+  })
+}
+
+/** Writers that each put an entry into the log as soon as their last one is committed. */
+async function writers (leader: Host, count: number, duration: number): Promise<{ readonly perSecond: number, readonly p50: number, readonly p99: number }> {
+  const histogram = createHistogram()
+  const started = new Map<number, number>()
+  const begin = performance.now()
+  let committed = 0
+  await new Promise<void>((resolve) => {
+    const propose = (): void => {
+      const place = leader.replica.propose(Buffer.alloc(ENTRY_BYTES, 1))
+      if (place.isOk()) started.set(place.value.index, performance.now())
+    }
+    leader.onCommit = (entries) => {
+      const now = performance.now()
+      for (const { index } of entries) {
+        const at = started.get(index)
+        if (at === undefined) continue
+        started.delete(index)
+        histogram.record(Math.max(1, Math.round((now - at) * NANOSECONDS_PER_MILLISECOND)))
+        committed += 1
+        if (now - begin < duration) propose()
+        else if (started.size === 0) resolve()
+      }
+    }
+    for (let writer = 0; writer < count; writer++) propose()
+  })
+  leader.onCommit = () => {}
+  return { perSecond: Math.round(committed / (performance.now() - begin) * 1000), p50: milliseconds(histogram, 50), p99: milliseconds(histogram, 99) }
+}
+
+async function bareLoop (kind: DiskKind): Promise<number> {
+  return await temporaryFolder(async (folder) => {
+    const disk = await MeasuredDisk.create(folder, kind)
+    const file = await disk.open('bare')
+    const histogram = createHistogram()
+    const end = performance.now() + 1000
+    while (performance.now() < end) {
+      const at = performance.now()
+      await file.append(Buffer.alloc(ENTRY_BYTES, 1))
+      await file.sync()
+      histogram.record(Math.max(1, Math.round((performance.now() - at) * NANOSECONDS_PER_MILLISECOND)))
+    }
+    await file.close()
+    return milliseconds(histogram, 50)
+  })
+}
+
+async function emptyCall (address: string): Promise<number> {
+  const client = new PeerClient(address, credentials.createInsecure())
+  const histogram = createHistogram()
+  for (let call = 0; call < 500; call++) {
+    const at = performance.now()
+    await new Promise<void>((resolve) => { client.identify({}, () => { resolve() }) })
+    histogram.record(Math.round((performance.now() - at) * NANOSECONDS_PER_MILLISECOND))
+  }
+  client.close()
+  return milliseconds(histogram, 50)
+}
+
+async function changes (): Promise<void> {
+  for (const syncMilliseconds of [0, SLOW_SYNC_MILLISECONDS]) {
+    const group: DiskKind = { name: 'group commit', syncMilliseconds, oneSyncPerEntry: false }
+    const baseline: DiskKind = { ...group, name: 'one sync per entry', oneSyncPerEntry: true }
+    const syncP50 = await bareLoop(group)
+    const results = new Map<string, number>()
+    for (const kind of [baseline, group]) {
+      for (const count of [1, MANY_WRITERS]) {
+        await withCluster(3, kind, async (leader) => {
+          const callP50 = await emptyCall(leader.address)
+          await writers(leader, count, PART_MILLISECONDS / 6)
+          const figures = await writers(leader, count, PART_MILLISECONDS)
+          results.set(`${kind.name} ${count}`, figures.perSecond)
+          const parts = round(syncP50 + 2 * callP50)
+          say('changes', { kind: kind.name, syncMilliseconds, writers: count, ...figures, bareSyncP50: syncP50, emptyCallP50: callP50, p50ToBareParts: round(figures.p50 / parts) })
+        })
+      }
+    }
+    for (const count of [1, MANY_WRITERS]) {
+      const ratio = (results.get(`${group.name} ${count}`) ?? 0) / (results.get(`${baseline.name} ${count}`) ?? 1)
+      say('group commit to one sync per entry', { syncMilliseconds, writers: count, ratio: round(ratio), bareLoopPerSecond: Math.round(1000 / syncP50) })
+    }
+  }
+}
+
+interface Member {
+  readonly process: ChildProcess
+  readonly lines: string[]
+  onLine?: (line: string) => void
+}
+
+function startMember (mode: string, ...parameters: readonly string[]): Member {
+  const child = spawn(process.execPath, ['--expose-gc', program, mode, ...parameters], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const member: Member = { process: child, lines: [] }
+  createInterface({ input: child.stdout }).on('line', (line) => {
+    member.lines.push(line)
+    member.onLine?.(line)
+  })
+  return member
+}
+
+async function endMember (member: Member): Promise<void> {
+  const ended = new Promise((resolve) => { member.process.once('close', resolve) })
+  member.process.kill('SIGKILL')
+  await ended
+}
+
+/** The program of one member: says its role, and proposes a little while it leads. */
+async function member (folder: string, address: string, bootstrap: string): Promise<void> {
+  const host = await startHost(folder, address, bootstrap.split(','), { onRole: (role, term) => { host.role = role; console.log(`${role} ${term}`) } })
+  setInterval(() => { if (host.role === Role.Leader) host.replica.propose(Buffer.alloc(ENTRY_BYTES, 1)) }, 5)
+}
+
+async function failover (): Promise<void> {
+  await temporaryFolder(async (folder) => {
+    const addresses = await Promise.all([0, 1, 2].map(freeAddress))
+    const launch = (slot: number): Member => startMember('member', join(folder, String(slot)), addresses[slot] ?? '', addresses.join(','))
+    const members = addresses.map((_, slot) => launch(slot))
+    const leads = (): number => members.findIndex((one) => one.lines.at(-1)?.startsWith(Role.Leader))
+    while (leads() < 0) await sleep(5)
+    const times: number[] = []
+    for (let count = 0; count < FAILOVERS; count++) {
+      await sleep(200 + count * 7)
+      const slot = leads()
+      const ended = members[slot] as Member
+      const at = performance.now()
+      const next = new Promise<void>((resolve) => {
+        for (const one of members) if (one !== ended) one.onLine = (line) => { if (line.startsWith(Role.Leader)) resolve() }
+      })
+      ended.process.kill('SIGKILL')
+      ended.lines.length = 0
+      await next
+      times.push(performance.now() - at)
+      members[slot] = launch(slot)
+      while ((members[slot] as Member).lines.length === 0) await sleep(10)
+    }
+    await Promise.all(members.map(endMember))
+    times.sort((left, right) => left - right)
+    say('time without a leader after its process ends, milliseconds', {
+      rounds: times.length, p50: Math.round(times[Math.floor(times.length / 2)] ?? 0), worst: Math.round(times.at(-1) ?? 0)
+    })
+  })
+}
+
+async function fill (leader: Host, count: number, each: (done: number) => Promise<void>): Promise<void> {
+  for (let done = 0; done < count; done += BATCH) {
+    const committed = new Promise<void>((resolve) => {
+      let waiting = BATCH
+      leader.onCommit = (entries) => { waiting -= entries.length; if (waiting <= 0) resolve() }
+    })
+    for (let entry = 0; entry < BATCH; entry++) leader.replica.propose(Buffer.alloc(ENTRY_BYTES, 1))
+    await committed
+    await each(done)
+  }
+}
+
+async function folderBytes (folder: string): Promise<number> {
+  let sum = 0
+  for (const name of await readdir(folder)) sum += await stat(join(folder, name)).then((found) => found.size, () => 0)
+  return sum
+}
+
+async function alone (folder: string, address: string, extra: Partial<ReplicaOptions> = {}): Promise<Host> {
+  const host = await startHost(folder, address, [address], extra)
+  while (host.role !== Role.Leader) await sleep(5)
+  return host
+}
+
+async function restart (): Promise<void> {
+  for (const [name, snapshotBytes] of [['snapshots as usual', undefined], ['no snapshot taken', Number.MAX_SAFE_INTEGER]] as const) {
+    await temporaryFolder(async (folder) => {
+      const address = await freeAddress()
+      const host = await alone(folder, address, { snapshotBytes })
+      await fill(host, RESTART_ENTRIES, async () => {})
+      await host.replica.stop()
+      host.server.forceShutdown()
+      const bytes = await folderBytes(folder)
+      const started = startMember('restarted', folder, address)
+      while (started.lines.length === 0) await sleep(20)
+      await endMember(started)
+      say('restart after 100,000 entries', { log: name, folderMegabytes: round(bytes / 1e6), ...JSON.parse(started.lines[0] ?? '{}') as object })
+    })
+  }
+}
+
+/** The program of a member that starts from a filled folder and tells time and memory. */
+async function restarted (folder: string, address: string): Promise<void> {
+  const before = await anonymousMegabytes()
+  const at = performance.now()
+  await alone(folder, address)
+  const readyMilliseconds = Math.round(performance.now() - at)
+  globalThis.gc?.()
+  await sleep(200)
+  const residentMegabytes = Math.round(process.memoryUsage().rss / 1e6)
+  console.log(JSON.stringify({ readyMilliseconds, residentMegabytes, anonymousMegabytes: await anonymousMegabytes(), anonymousMegabytesBefore: before }))
+}
+
+async function anonymousMegabytes (): Promise<number> {
+  const status = await readFile('/proc/self/status', 'utf8')
+  return Math.round(Number(/RssAnon:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1000)
+}
+
+async function disk (): Promise<void> {
+  await temporaryFolder(async (folder) => {
+    const host = await alone(folder, await freeAddress())
+    let most = 0
+    const begin = performance.now()
+    await fill(host, DISK_ENTRIES, async (done) => { if (done % (BATCH * 40) === 0) most = Math.max(most, await folderBytes(folder)) })
+    const seconds = (performance.now() - begin) / 1000
+    await host.replica.stop()
+    host.server.forceShutdown()
+    say('disk over a million entries', {
+      entries: DISK_ENTRIES, writtenMegabytes: Math.round(DISK_ENTRIES * ENTRY_BYTES / 1e6), mostMegabytes: round(most / 1e6), seconds: Math.round(seconds)
+    })
+  })
+}
+
+const parts: Readonly<Record<string, (...parameters: string[]) => Promise<void>>> = { changes, failover, restart, disk, member, restarted }
+const [part, ...parameters] = process.argv.slice(2)
+if (part !== undefined) await parts[part]?.(...parameters)
+else for (const run of [changes, failover, restart, disk]) await run()
--- a/src/control/records.ts
+++ b/src/control/records.ts
@@ -7,11 +7,15 @@
 import { EntryKind, type Entry, type HardState } from '../core/agreement'
 
 const MAGIC = 0x62666c67
-const FRAME_HEADER_BYTES = 20
-const RECORD_HEADER_BYTES = 5
 const ENTRY_HEADER_BYTES = 13
 const SECTOR_BYTES = 512
 
+/** Bytes before the records of a frame. */
+export const FRAME_HEADER_BYTES = 20
+
+/** Bytes before the body of a record: its kind and its length. */
+export const RECORD_HEADER_BYTES = 5
+
 /** The kinds of records in a frame. */
 export enum RecordKind {
   HardState = 1,
--- a/test/agreement-cluster.ts
+++ b/test/agreement-cluster.ts
@@ -79,8 +79,8 @@
 
 /** One run of a host's process. */
 interface Process { readonly host: Host, readonly storage: Storage, readonly writer: LogWriter, state: AgreementState, applied: string[], appliedIndex: number }
-interface Host { readonly slot: number, disk: MemoryDisk, identity: string, process?: Process, starting: boolean }
-interface Flight { readonly to: number, readonly from: number, readonly message?: Message, readonly commandTerm?: number }
+interface Host { readonly slot: number, disk: MemoryDisk, identity: string, process?: Process, starting: boolean, stalled: boolean, paused: boolean }
+interface Flight { readonly to: number, readonly from: number, readonly message: Message }
 interface Write { readonly value: string, readonly index: number, readonly term: number, readonly process: Process }
 interface Read { readonly process: Process, readonly mustSee: number }
 
@@ -95,6 +95,8 @@
   readonly hosts: Host[] = []
   flights: Flight[] = []
   readonly blocked = new Set<string>()
+  /** Terms of the commands on their way to an agent. */
+  private readonly commands: number[] = []
   private readonly leaders = new Map<number, string>()
   /** What is committed at each index, as first seen anywhere. */
   private readonly log: Array<{ readonly term: number, readonly kind: EntryKind, readonly value: string }> = []
@@ -114,7 +116,7 @@
 
   static async create (size: number, seed: number): Promise<SimulatedCluster> {
     const cluster = new SimulatedCluster(seed)
-    for (let slot = 0; slot < size; slot++) cluster.hosts.push({ slot, disk: new MemoryDisk(), identity: `m${slot}`, starting: false })
+    for (let slot = 0; slot < size; slot++) cluster.hosts.push({ slot, disk: new MemoryDisk(), identity: `m${slot}`, starting: false, stalled: false, paused: false })
     const members = cluster.hosts.map((host) => ({ identity: host.identity, address: `a${host.slot}`, voter: true }))
     for (const host of cluster.hosts) {
       host.disk.open_ = true
@@ -160,6 +162,7 @@
     host.disk = host.disk.afterStop(kept, torn)
     host.process = undefined
     host.starting = false
+    host.paused = false
   }
 
   /** Empties a folder, where the voters that are left still hold a quorum of every configuration in use. */
@@ -185,16 +188,40 @@
   }
 
   get readyLeaders (): Process[] {
-    return this.running.filter((process) => isReadyLeader(process.state))
+    return this.running.filter((process) => !process.host.paused && isReadyLeader(process.state))
   }
 
   host (slot: number): Host {
     return this.hosts[slot % this.hosts.length] as Host
   }
 
+  /** The leader of the highest term. */
+  get leader (): Process | undefined {
+    return this.readyLeaders.sort((left, right) => right.state.term - left.state.term)[0]
+  }
+
+  /** A process that stood still goes on: a leader then acts before it can see that it was replaced. */
+  resume (): void {
+    for (const host of this.hosts) host.paused = false
+    this.read()
+    this.command()
+    this.propose()
+  }
+
+  /** Cuts hosts off from the others: what they send, what they get, or both. */
+  isolate (slots: readonly number[], inward: boolean, outward: boolean): void {
+    const others = this.hosts.map((host) => host.slot).filter((slot) => !slots.includes(slot))
+    for (const slot of slots) {
+      for (const other of others) {
+        if (inward) this.blocked.add(`${other}>${slot}`)
+        if (outward) this.blocked.add(`${slot}>${other}`)
+      }
+    }
+  }
+
   tick (milliseconds: number): void {
     this.now += milliseconds
-    for (const process of this.running) this.handle(process, { kind: InputKind.Tick })
+    for (const process of this.running) if (!process.host.paused) this.handle(process, { kind: InputKind.Tick })
   }
 
   propose (): void {
@@ -214,7 +241,16 @@
   }
 
   command (): void {
-    for (const process of this.readyLeaders) this.flights.push({ from: process.host.slot, to: -1, commandTerm: process.state.term })
+    for (const process of this.readyLeaders) this.commands.push(process.state.term)
+  }
+
+  /** One command reaches the far end of an agent's stream, early or late. */
+  obey (choice: number): void {
+    const [term] = this.commands.splice(choice % Math.max(1, this.commands.length), 1)
+    if (term === undefined || !passesFence(this.fence, { term, configuration: 0 })) return
+    if (term < this.obeyed) throw new Violation(`a command of term ${term} was obeyed after one of term ${this.obeyed}`)
+    this.obeyed = term
+    this.fence = { term, configuration: 0 }
   }
 
   transfer (): void { for (const process of this.readyLeaders) this.handle(process, { kind: InputKind.Transfer }) }
@@ -263,23 +299,14 @@
   }
 
   private arrive (flight: Flight): void {
-    if (flight.commandTerm !== undefined) { this.obey(flight.commandTerm); return }
     const process = this.hosts[flight.to]?.process
-    if (process !== undefined && flight.message !== undefined) this.handle(process, { kind: InputKind.Receive, message: flight.message })
-  }
-
-  /** The far end of an agent's stream. */
-  private obey (term: number): void {
-    if (!passesFence(this.fence, { term, configuration: 0 })) return
-    if (term < this.obeyed) throw new Violation(`a command of term ${term} was obeyed after one of term ${this.obeyed}`)
-    this.obeyed = term
-    this.fence = { term, configuration: 0 }
+    if (process !== undefined && !process.host.paused) this.handle(process, { kind: InputKind.Receive, message: flight.message })
   }
 
   /** Lets the network and the disks do their work in order for some rounds. */
   async settle (rounds: number): Promise<void> {
     for (let round = 0; round < rounds; round++) {
-      for (const host of this.hosts) host.disk.release(8)
+      for (const host of this.hosts) if (!host.stalled) host.disk.release(8)
       const flights = this.flights.splice(0)
       for (const flight of flights) if (!this.blocked.has(`${flight.from}>${flight.to}`)) this.arrive(flight)
       if (round % 4 === 3) this.tick(20)
@@ -378,7 +405,11 @@
   /** Ends all faults; then there must be a leader, a new write, and every acknowledged write on every voter. */
   async finish (): Promise<void> {
     this.blocked.clear()
-    for (const host of this.hosts) this.start(host)
+    for (const host of this.hosts) {
+      host.stalled = false
+      host.paused = false
+      this.start(host)
+    }
     const target = this.acknowledged.size + 1
     for (let round = 0; round < 400 && this.acknowledged.size < target; round++) {
       await this.settle(5)
@@ -397,8 +428,8 @@
 
   /** The running voters, once there is a leader and each of them has what the leader has committed. */
   private get upToDate (): Process[] {
-    const leader = this.readyLeaders[0]?.state
-    if (leader === undefined) return []
+    const leader = this.leader?.state
+    if (leader === undefined || leader.commit < this.highestAcknowledged) return []
     const voters = this.running.filter((process) => currentMembers(leader).some((member) => member.voter && member.identity === process.state.identity))
     return voters.every((process) => process.appliedIndex >= leader.commit) ? voters : []
   }
--- a/test/agreement.test.ts
+++ b/test/agreement.test.ts
@@ -5,7 +5,8 @@
 
 /** What a schedule may do at one point. */
 enum Action {
-  Tick, Propose, Deliver, Drop, Double, Write, Settle, Stop, Start, LoseDisk, Cut, Heal, Transfer, Repair, Read, Compact, Command, Change
+  Tick, Propose, Deliver, Drop, Double, Write, Settle, Stop, StopAll, Start, LoseDisk, Cut, Isolate, Split, Heal, Stall, Pause, Resume, Transfer, Repair, Read,
+  Compact, Command, Obey, Change
 }
 
 interface Point {
@@ -17,7 +18,12 @@
 
 type Run = (cluster: SimulatedCluster, point: Point) => Promise<void> | void
 
-const changes = [MemberChangeKind.Promote, MemberChangeKind.Remove, MemberChangeKind.AddLearner]
+const changes = [MemberChangeKind.Promote, MemberChangeKind.Remove, MemberChangeKind.Remove, MemberChangeKind.AddLearner]
+
+/** Every other time the leader is meant. */
+function slotOf (cluster: SimulatedCluster, { host, part }: Point): number {
+  return part % 2 === 0 ? cluster.leader?.host.slot ?? host : host % cluster.hosts.length
+}
 
 const runs: Readonly<Record<Action, Run>> = {
   [Action.Tick]: (cluster, { other }) => { cluster.tick(other % 200) },
@@ -26,24 +32,39 @@
   [Action.Drop]: (cluster, { other, host }) => { for (let count = 0; count <= host; count++) cluster.deliver(other, 'never') },
   [Action.Double]: (cluster, { other }) => { cluster.deliver(other, 'twice') },
   [Action.Write]: (cluster, { host, other }) => { cluster.host(host).disk.release(1 + other % 3) },
-  [Action.Settle]: async (cluster, { other }) => { await cluster.settle(other % 40) },
-  [Action.Stop]: (cluster, { host, part, other }) => { cluster.stop(host, part / 100, other % 2 === 0) },
-  [Action.Start]: (cluster, { host }) => { cluster.start(cluster.host(host)) },
-  [Action.LoseDisk]: (cluster, { host }) => { cluster.loseDisk(host) },
+  [Action.Settle]: async (cluster, { other }) => { await cluster.settle(other % 160) },
+  [Action.Stop]: (cluster, at) => { cluster.stop(slotOf(cluster, at), at.other % 4 / 3, at.other % 8 < 4) },
+  [Action.StopAll]: (cluster, { other }) => { for (const host of cluster.hosts) cluster.stop(host.slot, other % 4 / 3, other % 8 < 4) },
+  [Action.Start]: (cluster, { host, part }) => { for (const { slot } of cluster.hosts) if (part < 50 || slot === host) cluster.start(cluster.host(slot)) },
+  [Action.LoseDisk]: (cluster, at) => { cluster.loseDisk(slotOf(cluster, at)) },
   [Action.Cut]: (cluster, { host, other }) => { cluster.blocked.add(`${host % cluster.hosts.length}>${other % cluster.hosts.length}`) },
-  [Action.Heal]: (cluster) => { cluster.blocked.clear() },
+  [Action.Isolate]: (cluster, at) => { cluster.isolate([slotOf(cluster, at)], at.other % 3 !== 0, at.other % 3 !== 1) },
+  [Action.Split]: (cluster, { other }) => {
+    cluster.isolate(cluster.hosts.map((host) => host.slot).filter((slot) => (other >> slot & 1) === 1), true, true)
+  },
+  [Action.Heal]: (cluster) => {
+    cluster.blocked.clear()
+    for (const host of cluster.hosts) host.stalled = false
+  },
+  [Action.Stall]: (cluster, at) => { cluster.host(slotOf(cluster, at)).stalled = true },
+  [Action.Pause]: (cluster, at) => { cluster.host(slotOf(cluster, at)).paused = true },
+  [Action.Resume]: (cluster) => { cluster.resume() },
   [Action.Transfer]: (cluster) => { cluster.transfer() },
   [Action.Repair]: (cluster) => { cluster.repair() },
   [Action.Read]: (cluster) => { cluster.read() },
   [Action.Compact]: (cluster, { host }) => { cluster.compact(host) },
   [Action.Command]: (cluster) => { cluster.command() },
-  [Action.Change]: (cluster, { host, part }) => { cluster.changeMember(changes[part % changes.length] ?? MemberChangeKind.Promote, host) }
+  [Action.Obey]: (cluster, { other }) => { cluster.obey(other) },
+  [Action.Change]: (cluster, { host, part, other }) => {
+    for (let count = 0; count <= other % 3; count++) cluster.changeMember(changes[part % changes.length] ?? MemberChangeKind.Promote, host + count)
+  }
 }
 
 const weights: ReadonlyArray<readonly [Action, number]> = [
-  [Action.Tick, 12], [Action.Propose, 12], [Action.Deliver, 16], [Action.Drop, 3], [Action.Double, 3], [Action.Write, 14], [Action.Settle, 12],
-  [Action.Stop, 4], [Action.Start, 6], [Action.LoseDisk, 1], [Action.Cut, 3], [Action.Heal, 2], [Action.Transfer, 2], [Action.Repair, 4],
-  [Action.Read, 5], [Action.Compact, 3], [Action.Command, 3], [Action.Change, 1]
+  [Action.Tick, 10], [Action.Propose, 14], [Action.Deliver, 12], [Action.Drop, 2], [Action.Double, 3], [Action.Write, 10], [Action.Settle, 16],
+  [Action.Stop, 4], [Action.StopAll, 1], [Action.Start, 6], [Action.LoseDisk, 2], [Action.Cut, 3], [Action.Isolate, 4], [Action.Split, 3],
+  [Action.Heal, 4], [Action.Stall, 3], [Action.Pause, 3], [Action.Resume, 4], [Action.Transfer, 2], [Action.Repair, 5], [Action.Read, 6], [Action.Compact, 3], [Action.Command, 4],
+  [Action.Obey, 4], [Action.Change, 3]
 ]
 
 const point = fc.record({
