--- a/measurements/benchmark-agreement.ts
+++ b/measurements/benchmark-agreement.ts
@@ -252,8 +252,13 @@
 
 /** The program of one member: says its role, and proposes a little while it leads. */
 async function member (folder: string, address: string, bootstrap: string): Promise<void> {
-  const host = await startHost(folder, address, bootstrap.split(','), { onRole: (role, term) => { host.role = role; console.log(`${role} ${term}`) } })
-  setInterval(() => { if (host.role === Role.Leader) host.replica.propose(Buffer.alloc(ENTRY_BYTES, 1)) }, 5)
+  let role = Role.Learner
+  const onRole = (next: Role, term: number): void => {
+    role = next
+    console.log(`${next} ${term}`)
+  }
+  const host = await startHost(folder, address, bootstrap.split(','), { onRole })
+  setInterval(() => { if (role === Role.Leader) host.replica.propose(Buffer.alloc(ENTRY_BYTES, 1)) }, 5)
 }
 
 async function failover (): Promise<void> {
