--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -103,6 +103,8 @@
   private nextJoin = 0
   private nextRepair = 0
   private told = { role: Role.Learner, term: 0 }
+  /** Last index handed to the layer above; the core may be further while a handler proposes. */
+  private handed = 0
   private bytesSinceSnapshot = 0
   private savingSnapshot = false
   private readonly pending = PendingCalls.create()
@@ -279,11 +281,13 @@
     const { head, data } = message
     this.bytesSinceSnapshot = 0
     this.options.log('restored', { index: head.index, bytes: data.length })
+    this.handed = head.index
     this.options.onRestore(data, head.index)
   }
 
   private commit (entries: readonly Entry[]): void {
     for (const entry of entries) this.bytesSinceSnapshot += entry.data.length + ENTRY_BYTES
+    this.handed = entries.at(-1)?.index ?? this.handed
     this.options.onCommit(entries.map((entry) => ({
       index: entry.index, term: entry.term, data: entry.kind === EntryKind.Data ? entry.data : noData
     })))
@@ -335,7 +339,7 @@
   private async saveSnapshot (): Promise<void> {
     this.savingSnapshot = true
     this.bytesSinceSnapshot = 0
-    const index = this.state.commit
+    const index = this.handed
     const head = { index, term: termAt(this.state, index) ?? 0, members: membersAt(this.state, index) }
     const saved = await this.storage.saveSnapshot({ head, data: this.options.takeSnapshot() })
     this.savingSnapshot = false
