--- a/measurements/benchmark-agreement.ts
+++ b/measurements/benchmark-agreement.ts
@@ -1,5 +1,5 @@
 /**
- * Measures the replicated log: `node scripts/tool.mjs measurements/benchmark-agreement.ts [changes|failover|restart|disk]`.
+ * Measures the replicated log: `node scripts/tool.mjs measurements/benchmark-agreement.ts [changes|failover|restart|disk|idle]`.
  * Without a name all parts run. All traffic stays on the loopback; folders are made in the system's temporary folder.
  */
 import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
@@ -24,6 +24,7 @@
 const DISK_ENTRIES = 1_000_000
 const STATE_BYTES = 1024 * 1024
 const BATCH = 256
+const IDLE_MILLISECONDS = 8000
 const NANOSECONDS_PER_MILLISECOND = 1e6
 
 const program = process.argv[1] === undefined ? '' : 'dist/tools/benchmark-agreement.mjs'
@@ -292,6 +293,31 @@
   })
 }
 
+/** The program of a member that does nothing but keep the log alive, and tells the processor time it takes. */
+async function idleMember (folder: string, address: string, bootstrap: string): Promise<void> {
+  let role = Role.Learner
+  await startHost(folder, address, bootstrap.split(','), { onRole: (next) => { role = next } })
+  await sleep(IDLE_MILLISECONDS / 2)
+  const before = process.cpuUsage()
+  const at = performance.now()
+  await sleep(IDLE_MILLISECONDS)
+  const { user, system } = process.cpuUsage(before)
+  const percentOfCore = round((user + system) / 10 / (performance.now() - at))
+  console.log(JSON.stringify({ role, percentOfCore, anonymousMegabytes: await anonymousMegabytes() }))
+}
+
+async function idle (): Promise<void> {
+  for (const count of [3, 5]) {
+    await temporaryFolder(async (folder) => {
+      const addresses = await Promise.all(Array.from({ length: count }, freeAddress))
+      const members = addresses.map((address, slot) => startMember('idleMember', join(folder, String(slot)), address, addresses.join(',')))
+      while (members.some((one) => one.lines.length === 0)) await sleep(50)
+      for (const one of members) say('idle', { members: count, ...JSON.parse(one.lines[0] ?? '{}') as object })
+      await Promise.all(members.map(endMember))
+    })
+  }
+}
+
 async function fill (leader: Host, count: number, each: (done: number) => Promise<void>): Promise<void> {
   for (let done = 0; done < count; done += BATCH) {
     const committed = new Promise<void>((resolve) => {
@@ -365,7 +391,7 @@
   })
 }
 
-const parts: Readonly<Record<string, (...parameters: string[]) => Promise<void>>> = { changes, failover, restart, disk, member, restarted }
+const parts: Readonly<Record<string, (...parameters: string[]) => Promise<void>>> = { changes, failover, restart, disk, idle, member, restarted, idleMember }
 const [part, ...parameters] = process.argv.slice(2)
 if (part !== undefined) await parts[part]?.(...parameters)
-else for (const run of [changes, failover, restart, disk]) await run()
+else for (const run of [changes, failover, restart, disk, idle]) await run()
