Tick less and flush only what there is

Cause: an idle leader of three took 3.1% of a core, its followers 2.0 to 2.4%; of five 4.2% and 2.1 to 3.4%. Change: ticks every 50 ms instead of 25, and no flush where nothing waits.

--- a/src/control/log-writer.ts
+++ b/src/control/log-writer.ts
@@ -61,7 +61,8 @@
     if (this.writing) await new Promise<void>((resolve) => { this.idle.push(resolve) })
   }
 
-  private get somethingToWrite (): boolean {
+  /** Whether anything waits to be written or to be sent after a sync. */
+  get somethingToWrite (): boolean {
     return this.afterSync.length > 0 || somethingToSync(this.batch)
   }
 
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -20,7 +20,7 @@
 
 export { AgreementRefusal, MemberChangeKind, Role, type MemberChange, type MemberChangeError, type NotLeader, type ProposedEntry }
 
-const TICK_MILLISECONDS = 25
+const TICK_MILLISECONDS = 50
 const JOIN_MILLISECONDS = 300
 const REPAIR_MILLISECONDS = 500
 const SNAPSHOT_BYTES = 4 * 1024 * 1024
@@ -94,7 +94,9 @@
   private readonly writer: LogWriter
   private readonly outputs: Output[] = []
   private delivering = false
+  /** There is something to write, or a read to confirm. */
   private flushDue = false
+  private flushScheduled = false
   private stopped = false
   private founding = false
   /** Nothing is received before the start, because the start sets the state anew. */
@@ -264,12 +266,13 @@
     this.delivering = true
     for (let output = this.outputs.shift(); output !== undefined; output = this.outputs.shift()) this.deliverOne(output)
     this.delivering = false
-    this.scheduleFlush()
+    if (this.flushDue) this.scheduleFlush()
   }
 
   private deliverOne (output: Output): void {
     if (output.restore !== undefined) this.restore(output.restore)
     this.writer.add(output)
+    this.flushDue ||= this.writer.somethingToWrite || this.state.reads.length > 0
     for (const message of output.messages) this.peers.send(message)
     if (output.committed.length > 0) this.commit(output.committed)
     for (const identifier of output.confirmed) this.pending.settleRead(identifier, ok(undefined))
@@ -308,9 +311,10 @@
   }
 
   private scheduleFlush (): void {
-    if (this.flushDue || this.stopped) return
-    this.flushDue = true
+    if (this.flushScheduled || this.stopped) return
+    this.flushScheduled = true
     setImmediate(() => {
+      this.flushScheduled = false
       this.flushDue = false
       this.flush()
     })
