--- a/measurements/capacity-state.ts
+++ b/measurements/capacity-state.ts
@@ -1,7 +1,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import {
-  apply, decodeState, encodeState, encodeTransactions, initialState, Level, RemovalRule, stateDigest, TransactionKind, Urgency,
+  apply, decodeState, encodeState, encodeStateInPieces, encodeTransactions, initialState, Level, RemovalRule, stateDigest, TransactionKind, Urgency,
   type JobSpecification, type State, type Transaction
 } from '../src/core/index'
 
@@ -33,6 +33,8 @@
   readonly encodeMillisecondsMedian: number
   /** The first one runs cold code, as in a process that takes a snapshot every few hours. */
   readonly encodeMillisecondsWorst: number
+  /** The longest time for which the encoding holds the loop when it is done in pieces. */
+  readonly longestPieceMilliseconds: number
   readonly digestMilliseconds: number
   readonly decodeMilliseconds: number
   readonly heapBytes: number
@@ -187,6 +189,16 @@
   return [performance.now() - began, value]
 }
 
+function longestPiece (state: State): number {
+  let longest = 0
+  let began = performance.now()
+  for (const piece of encodeStateInPieces(state)) {
+    longest = Math.max(longest, piece.length === 0 ? 0 : performance.now() - began)
+    began = performance.now()
+  }
+  return longest
+}
+
 /**
  * Builds the state of the size to design for and times its snapshot.
  * @param ended - jobs that have ended and are still kept
@@ -204,7 +216,8 @@
   const encodings = Array.from({ length: 5 }, () => timed(() => encodeState(recorder.state)))
   const times = encodings.map(([milliseconds]) => milliseconds).sort((one, other) => one - other)
   const bytes = encodings[0]![1]
+  const longestPieceMilliseconds = longestPiece(recorder.state)
   const [digestMilliseconds] = timed(() => stateDigest(recorder.state))
   const [decodeMilliseconds] = timed(() => decodeState(bytes))
-  return { bytes: bytes.length, encodeMillisecondsMedian: times[2]!, encodeMillisecondsWorst: times[4]!, digestMilliseconds, decodeMilliseconds, heapBytes }
+  return { bytes: bytes.length, encodeMillisecondsMedian: times[2]!, encodeMillisecondsWorst: times[4]!, longestPieceMilliseconds, digestMilliseconds, decodeMilliseconds, heapBytes }
 }
--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -1,4 +1,5 @@
 import { createLogger, type Logger } from '../logging'
+import { ExitCode } from './exit-code'
 import { Role, type Settings, type TlsFiles } from '../settings/index'
 
 /** A role that runs in this process. */
@@ -31,12 +32,18 @@
   return (event, fields) => logger.info(event, { ...fields })
 }
 
+/** A host whose data folder failed must not go on: it could promise what does not last. */
+function endAtOnce (message: string): void {
+  process.stderr.write(`the data folder failed: ${message}\n`)
+  process.exit(ExitCode.CannotStart)
+}
+
 async function startControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { ControlHost } = await import('../control/index')
   const { mutualCredentials } = await import('./credentials')
   const { address, folder, voters, metrics: metricsAddress } = section(settings, Role.Control)
   const log = logTo(createLogger(Role.Control, settings.logLevel))
-  const created = await ControlHost.create({ host: settings.host, address, folder, voters, metricsAddress, log, ...mutualCredentials(tls) })
+  const created = await ControlHost.create({ host: settings.host, address, folder, voters, metricsAddress, log, onFailure: endAtOnce, ...mutualCredentials(tls) })
   if (created.isErr()) throw created.error
   const host = created.value
   host.start()
--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -286,7 +286,7 @@
       value: {
         key: { job: effect.job, attempt: effect.attempt },
         mode: checkpoint ? wire.StopMode.CHECKPOINT : wire.StopMode.STOP,
-        graceMilliseconds: STOP_GRACE_MILLISECONDS
+        graceMilliseconds: job?.attempt?.stopGrace || STOP_GRACE_MILLISECONDS
       }
     }
   }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeState, guaranteeStatus, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type Transaction
+  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
@@ -30,6 +30,8 @@
   readonly channelCredentials?: grpc.ChannelCredentials
   /** Where /metrics is served, an IP number and a port; nowhere by default. */
   readonly metricsAddress?: string
+  /** The data folder failed: nothing is promised any more, and the process should end. */
+  readonly onFailure?: (message: string) => void
   readonly log: (event: string, fields: object) => void
 }
 
@@ -39,6 +41,8 @@
 const EXPIRE_MILLISECONDS = 10_000
 /** Time after which a change of members may be tried again, in milliseconds. */
 const MEMBERS_RETRY_MILLISECONDS = 500
+/** Time for which the writing of a snapshot may hold the loop at once, in milliseconds. */
+const SNAPSHOT_SLICE_MILLISECONDS = 5
 /** Time between two entries that count refusals, in milliseconds. */
 const REFUSALS_MILLISECONDS = 1_000
 
@@ -138,10 +142,8 @@
       credentials: options.channelCredentials,
       onCommit: (entries) => { for (const entry of entries) host.machine.commit(entry, entry.data) },
       onRestore: (snapshot) => { host.machine.restore(decodeState(snapshot)) },
-      takeSnapshot: () => {
-        host.record.sync()
-        return encodeState(host.machine.committed)
-      },
+      takeSnapshot: () => host.takeSnapshot(),
+      onFailure: (error) => { options.onFailure?.(error.message) },
       onRole: (role, term) => { host.onRole(role, term) },
       log: options.log
     })
@@ -180,6 +182,24 @@
     })
   }
 
+  /**
+   * Record lines that a snapshot covers are not made again from the log, so they must last before it does.
+   * The loop goes on with other work between the pieces: a state is immutable, so it cannot change meanwhile.
+   */
+  private async takeSnapshot (): Promise<Uint8Array> {
+    const state = this.machine.committed
+    this.record.sync()
+    const pieces: Uint8Array[] = []
+    let began = performance.now()
+    for (const piece of encodeStateInPieces(state)) {
+      pieces.push(piece)
+      if (performance.now() - began < SNAPSHOT_SLICE_MILLISECONDS) continue
+      await new Promise((resolve) => { setImmediate(resolve) })
+      began = performance.now()
+    }
+    return Buffer.concat(pieces)
+  }
+
   private bind (): Promise<Result<ControlHost, Error>> {
     return new Promise((resolve) => {
       const credentials = this.options.serverCredentials ?? grpc.ServerCredentials.createInsecure()
--- a/src/control/machine.ts
+++ b/src/control/machine.ts
@@ -24,6 +24,8 @@
   readonly decide: (head: State) => readonly Transaction[]
   /** Runs a function soon, once. */
   readonly soon: (run: () => void) => void
+  /** Monotonic time in milliseconds; that of the runtime by default. */
+  readonly now?: () => number
   /** Reports a decision that could not be applied, which is a fault of the policy. */
   readonly onRefusedDecision: (transaction: Transaction, refusal: Refusal) => void
 }
@@ -41,8 +43,12 @@
   readonly abandon: ReadonlyArray<() => void>
 }
 
-/** Rounds of decisions in one entry at most, so that one turn stays short. */
-const MOST_DECISION_ROUNDS = 256
+/** Time after which a turn makes no more decisions, in milliseconds. */
+const TURN_MILLISECONDS = 20
+/** A round of decisions that took less than this needs no pause after it, in milliseconds. */
+const CHEAP_ROUND_MILLISECONDS = 2
+/** Pause after a costly round, as a multiple of its cost: heartbeats, commits and callers get the rest of the time. */
+const PAUSE_PER_COST = 3
 
 /**
  * Holds the state twice: as committed, and, while this host leads, with all proposed entries applied.
@@ -56,6 +62,8 @@
   private waiting: Waiting[] = []
   private leading = false
   private turnIsDue = false
+  /** Monotonic time before which no decisions are made. */
+  private decideAt = 0
 
   private constructor (private readonly ports: MachinePorts) {}
 
@@ -107,7 +115,7 @@
     const expected = this.pending[0]
     if (expected !== undefined && expected.index === name.index && expected.term === name.term) {
       this.pending.shift()
-      this.ports.onCommitTime?.(performance.now() - expected.proposedAt)
+      this.ports.onCommitTime?.(this.now() - expected.proposedAt)
       this.committedState = expected.applied.at(-1)?.state ?? this.committedState
       this.ports.onCommitted(expected.applied, this.leading)
       for (const settle of expected.settle) settle()
@@ -152,9 +160,16 @@
     if (transactions.length > 0) this.propose(transactions, { applied, settle, abandon })
   }
 
+  /** Decisions that wait for their time are made in the turn after the next tick of the leader. */
   private takeDecisions (take: (transaction: Transaction) => Applied): void {
-    for (let round = 0; round < MOST_DECISION_ROUNDS; round++) {
+    const began = this.now()
+    if (began < this.decideAt) return
+    for (let before = began; before - began < TURN_MILLISECONDS;) {
       const decisions = this.ports.decide(this.headState)
+      const after = this.now()
+      const cost = after - before
+      before = after
+      if (cost >= CHEAP_ROUND_MILLISECONDS) this.decideAt = after + cost * PAUSE_PER_COST
       if (decisions.length === 0) return
       for (const decision of decisions) {
         const { outcome } = take(decision)
@@ -164,13 +179,17 @@
     this.wake()
   }
 
+  private now (): number {
+    return this.ports.now?.() ?? performance.now()
+  }
+
   private propose (transactions: readonly Transaction[], entry: Omit<Pending, keyof EntryName | 'proposedAt'>): void {
     const name = this.ports.propose(encodeTransactions(transactions))
     if (name.isErr()) {
       for (const abandon of entry.abandon) abandon()
       return
     }
-    this.pending.push({ ...name.value, ...entry, proposedAt: performance.now() })
+    this.pending.push({ ...name.value, ...entry, proposedAt: this.now() })
     this.ports.onProposed(entry.applied.flatMap((one) => one.effects))
   }
 
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -75,7 +75,8 @@
   /** Called in order, for each index once after a start or a restore. */
   onCommit (entries: readonly CommittedEntry[]): void
   onRestore (snapshot: Uint8Array, index: number): void
-  takeSnapshot (): Uint8Array
+  /** The state as it is when this is called; it may be written out in pieces afterwards. */
+  takeSnapshot (): Uint8Array | Promise<Uint8Array>
   /** Leader is told only when everything before the leader's own first entry was handed to onCommit. */
   onRole (role: Role, term: number): void
   /** The data folder failed; the replica has stopped taking part. */
@@ -345,7 +346,9 @@
     this.bytesSinceSnapshot = 0
     const index = this.handed
     const head = { index, term: termAt(this.state, index) ?? 0, members: membersAt(this.state, index) }
-    const saved = await this.storage.saveSnapshot({ head, data: this.options.takeSnapshot() })
+    const data = await this.options.takeSnapshot()
+    if (this.stopped) return
+    const saved = await this.storage.saveSnapshot({ head, data })
     this.savingSnapshot = false
     if (saved.isErr()) { this.fail(saved.error); return }
     this.handle({ kind: InputKind.Compact, head, keepFrom: keepFrom(this.state, index) })
--- a/src/core/snapshot.ts
+++ b/src/core/snapshot.ts
@@ -37,12 +37,8 @@
   readonly record: State['record']
 }
 
-/**
- * Writes a state as bytes. Equal states give equal bytes, whatever the order in which they came about.
- * @param state - the state
- * @returns UTF-8 JSON
- */
-export function encodeState (state: State): Uint8Array {
+/** What is written of a state, every list in the order of its keys. */
+function storedState (state: State): StoredState {
   const { configuration } = state
   const stored: StoredState = {
     time: state.time,
@@ -66,7 +62,45 @@
     retries: sortedEntries(state.retries),
     record: state.record
   }
-  return new TextEncoder().encode(JSON.stringify(stored))
+  return stored
+}
+
+/** Elements of a list that are written in one piece. */
+const ELEMENTS_PER_PIECE = 256
+
+/**
+ * Writes a state in pieces, so that a large one need not hold the loop up.
+ * @param state - the state
+ * @returns pieces of UTF-8 JSON; joined they are what encodeState writes
+ */
+export function * encodeStateInPieces (state: State): Generator<Uint8Array> {
+  const encoder = new TextEncoder()
+  let separator = '{'
+  for (const [name, value] of Object.entries(storedState(state)) as Array<[string, unknown]>) {
+    if (value === undefined) continue
+    yield encoder.encode(`${separator}${JSON.stringify(name)}:`)
+    for (const text of Array.isArray(value) ? listInPieces(value) : [JSON.stringify(value)]) yield encoder.encode(text)
+    separator = ','
+  }
+  yield encoder.encode('}')
+}
+
+function * listInPieces (list: readonly unknown[]): Generator<string> {
+  yield '['
+  for (let first = 0; first < list.length; first += ELEMENTS_PER_PIECE) {
+    const piece = JSON.stringify(list.slice(first, first + ELEMENTS_PER_PIECE)).slice(1, -1)
+    yield first === 0 ? piece : `,${piece}`
+  }
+  yield ']'
+}
+
+/**
+ * Writes a state as bytes. Equal states give equal bytes, whatever the order in which they came about.
+ * @param state - the state
+ * @returns UTF-8 JSON
+ */
+export function encodeState (state: State): Uint8Array {
+  return Buffer.concat([...encodeStateInPieces(state)])
 }
 
 /**
--- a/test/machine.test.ts
+++ b/test/machine.test.ts
@@ -11,6 +11,11 @@
   readonly carriedOut: Effect[] = []
   readonly turns: Array<() => void> = []
   committed = 0
+  /** Monotonic milliseconds. */
+  time = 0
+  /** What a round of decisions costs. */
+  cost = 0
+  rounds = 0
   leading = true
   readonly machine = Machine.create({
     propose: (data) => {
@@ -21,8 +26,13 @@
     },
     onProposed: (effects) => { this.proposed.push(...effects) },
     onCommitted: (applied, leading) => { if (leading) this.carriedOut.push(...applied.flatMap((one) => one.effects)) },
-    decide: (head) => decide(head, { now: 10 }),
+    decide: (head) => {
+      this.rounds++
+      this.time += this.cost
+      return decide(head, { now: 10 })
+    },
     soon: (run) => { this.turns.push(run) },
+    now: () => this.time,
     onRefusedDecision: (transaction) => { throw new Error(`refused ${transaction.kind}`) }
   })
 
@@ -116,3 +126,26 @@
     expect(stateDigest(log.machine.head)).toBe(stateDigest(log.machine.committed))
   }), { seed: 20261204, numRuns: 200 })
 })
+
+test('costly decisions leave most of the time to the rest, and are made in the end', () => {
+  const log = new FakeLog()
+  log.cost = 60
+  log.machine.lead(true)
+  void log.machine.submit(put)
+  log.turn()
+  const first = log.rounds
+  void log.machine.submit(announce('w'))
+  void log.machine.submit(accept('job'))
+  log.turn()
+  expect({ first, whileWaiting: log.rounds - first, reserved: log.proposed.some((effect) => effect.kind === EffectKind.Reserve) }).toMatchInlineSnapshot(`
+    {
+      "first": 1,
+      "reserved": false,
+      "whileWaiting": 0,
+    }
+  `)
+  log.time += 180
+  log.machine.wake()
+  log.turn()
+  expect(log.proposed.some((effect) => effect.kind === EffectKind.Reserve)).toBe(true)
+})
--- /dev/null
+++ b/test/snapshot.test.ts
@@ -0,0 +1,17 @@
+import { Map as ImmutableMap } from 'immutable'
+import { expect, test } from 'vitest'
+import { decodeState, encodeState, encodeStateInPieces, initialState, type StoredPut } from '../src/core/index'
+
+function put (number: number): [string, StoredPut] {
+  const requestIdentifier = `request-${number}`
+  return [requestIdentifier, { team: 'all', requestIdentifier, digest: '', number, sections: [], documentDigest: '', consequences: [], at: number }]
+}
+
+test.each([0, 1, 255, 256, 257, 1_000])('a state with a list of %i elements is read again as it was written', (count) => {
+  const puts = ImmutableMap(Array.from({ length: count }, (_, number) => put(number)))
+  const state = { ...initialState, configuration: { ...initialState.configuration, puts } }
+  const read = decodeState(Buffer.concat([...encodeStateInPieces(state)]))
+  expect(read.configuration.puts.size).toBe(count)
+  expect(Buffer.from(encodeState(read)).equals(encodeState(state))).toBe(true)
+  expect(JSON.parse(Buffer.from(encodeState(state)).toString()).puts).toHaveLength(count)
+})
