--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -77,6 +77,9 @@
 }
 
 function freeCandidate (row: Row, search: Search, needed: Amounts): Candidate | undefined {
+  const count = search.job.specification.shape.accelerators
+  // In a busy fleet most rows have no run that is long enough, and a look at a table tells.
+  if (bestMask(count, row.free) === undefined) return undefined
   const held = add(row.standing, row.taken)
   if (!within(row.worker, add(held, needed))) return undefined
   const firm = isFirm(search.job)
@@ -84,7 +87,6 @@
   if (firm && !within(row.worker, add(add(row.firm, kept), needed))) return undefined
   if (!search.intoAwaited && row.awaited.slots + row.awaited.mask > 0 && !within(row.worker, add(add(held, row.awaited), needed))) return undefined
   const free = row.free & ~(search.intoAwaited ? 0 : row.awaited.mask)
-  const count = search.job.specification.shape.accelerators
   const beside = bestMask(count, free & ~kept.mask)
   const mask = beside ?? (search.borrow && !firm ? bestMask(count, free) : undefined)
   if (mask === undefined) return undefined
