--- a/src/command/serve.ts
+++ b/src/command/serve.ts
@@ -49,9 +49,6 @@
 /** Time over a role's deadline for closing its sockets and files. */
 const GRACE_MILLISECONDS = 2_000
 
-/** Time for the last lines to be written before the process is ended. */
-const LINGER_MILLISECONDS = 200
-
 /** Runs the roles of a settings file. */
 export class Serve extends Command {
   static override paths = [['serve']]
@@ -92,9 +89,9 @@
       await startAll(settings, running)
     } catch (error) {
       await shutdown.signal()
-      return endSoon(this.failed('start', error as Error))
+      return this.failed('start', error as Error)
     }
-    return endSoon(await ended)
+    return await ended
   }
 
   private failed (what: string, error: Error): ExitCode {
@@ -107,12 +104,6 @@
   }
 }
 
-/** Sockets of a role that did not end in time must not hold the process. */
-function endSoon (code: ExitCode): ExitCode {
-  setTimeout(() => process.exit(code), LINGER_MILLISECONDS).unref()
-  return code
-}
-
 async function startAll (settings: Settings, running: RunningRole[]): Promise<void> {
   const { readTls } = await import('../settings/index')
   const { startOrder, startRole } = await import('./roles')
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -23,8 +23,7 @@
     ...listed('/control/voters', settings.control?.voters),
     ['/entry/address', settings.entry?.address],
     ['/agent/platform', settings.agent?.platform],
-    ['/agent/target', settings.agent?.target],
-    ['/agent/metrics', settings.agent?.metrics]
+    ['/agent/target', settings.agent?.target]
   ]
 }
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -65,8 +65,7 @@
   platform: base,
   target: base,
   connections: Type.Integer({ minimum: 4, maximum: 64, default: 64, description: 'most connections to target and platform in all, three of them for the platform and for asking the target whether it answers' }),
-  stopDeadlineSeconds,
-  metrics: Type.Optional(address)
+  stopDeadlineSeconds
 }, strict)
 /** See {@link agentSettingsSchema}. */
 export type AgentSettings = Static<typeof agentSettingsSchema>
