Refuse the data folder of another host

Cause: a trial started a second host on the first one's folder, and it led. Change: a folder names its host once, synced; another host gets a clear line and a non-zero exit.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -10,6 +10,7 @@
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
 import { Machine, recordLines } from './machine'
 import { ControlMetrics } from './metrics'
+import { claimFolder } from './owner'
 import { RecordStore } from './recordstore'
 import {
   AgreementRefusal, MemberChangeKind, Replica, Role, type MemberChange, type MemberChangeError, type NotLeader
@@ -133,6 +134,8 @@
     if (record.value.cut !== undefined) options.log('record-cut', { at: record.value.cut })
     const host = new ControlHost(options, record.value)
     host.server.addService(wire.ControlService, controlCalls(host.ports()))
+    const claimed = await claimFolder(options.folder, options.host)
+    if (claimed.isErr()) return err(claimed.error)
     const replica = await Replica.create({
       folder: options.folder,
       address: options.address,
--- a/test/control-host.test.ts
+++ b/test/control-host.test.ts
@@ -152,6 +152,13 @@
   expect(bench.target.runs).toEqual([{ job: 'long', attempt: 1 }])
 })
 
+test('a data folder of another host is not opened', async () => {
+  await bench.host.stop()
+  const opened = await ControlHost.create({ host: 'other', address: bench.address, folder: bench.folder, voters: [bench.address], log: () => {} })
+  expect(opened._unsafeUnwrapErr().message.replace(bench.folder, 'FOLDER')).toMatchInlineSnapshot('"data folder FOLDER belongs to host control, not to other: give this host a folder of its own"')
+  bench.host = await startHost(bench.folder, bench.address)
+})
+
 test('a change is accepted once, a resend gets the first answer again after a restart, an old number is a conflict', async () => {
   const sectionsJson = JSON.stringify({ placement: { completionTimeWeight: 1, fragmentationWeight: 0 } })
   expect(await bench.put(sectionsJson, 'second', { placement: 0 })).toBe('accepted')
