Write the refusal of a host that does not lead once

Cause: the read-through found it written three times, in calls, host and agents. Change: notLeaderRefusal in convert.ts serves all three. The one for agents now names the same wait as the others; agents do not read it.

--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -4,7 +4,7 @@
   type AgentEffect, type Job, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
-import { fromWireContent, fromWireVerdict } from './convert'
+import { fromWireContent, fromWireVerdict, notLeaderRefusal } from './convert'
 
 /** A stream to an agent, from this side. */
 export type AgentCall = ServerDuplexStream<wire.AgentMessage, wire.ControlMessage>
@@ -329,8 +329,7 @@
  * @returns the message
  */
 export function refusalMessage (leader: string | undefined): wire.ControlMessage {
-  const refusal = wire.Refusal.fromPartial({ code: 'not-leader', message: 'this control host does not lead', verdict: wire.Verdict.NOT_RUN, retryCanHelp: true, leader: leader ?? '' })
-  return { term: 0, configuration: 0, message: { $case: 'refusal', value: refusal } }
+  return { term: 0, configuration: 0, message: { $case: 'refusal', value: notLeaderRefusal(leader) } }
 }
 
 function currentAttempt (state: State, effect: AgentEffect): Job | undefined {
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -5,7 +5,7 @@
 } from '../core/index'
 import * as wire from '../wire/index'
 import type { AgentCall } from './agents'
-import { fromWireJob, refusalReport, toReport, toWireRefusal } from './convert'
+import { fromWireJob, notLeaderRefusal, refusalReport, toReport, toWireRefusal } from './convert'
 import type { FollowerCall } from './followers'
 import type { Waiters } from './waiters'
 
@@ -69,7 +69,7 @@
 }
 
 function notLeader (ports: CallPorts): wire.Refusal {
-  return toWireRefusal(notRun(RefusalCode.NotLeader, 'this control host does not lead', 50), ports.leader())
+  return notLeaderRefusal(ports.leader())
 }
 
 async function submit (ports: CallPorts, call: Reports<wire.SubmitRequest>): Promise<void> {
--- a/src/control/convert.ts
+++ b/src/control/convert.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import {
-  Level, Urgency, Verdict, type Content, type Job, type JobSpecification, type Refusal, type Shape
+  Level, notRun, RefusalCode, Urgency, Verdict, type Content, type Job, type JobSpecification, type Refusal, type Shape
 } from '../core/index'
 import * as wire from '../wire/index'
 
@@ -53,6 +53,18 @@
   }
 }
 
+/** Time after which another try may find the next leader, in milliseconds. */
+const LEADER_RETRY_MILLISECONDS = 50
+
+/**
+ * What everybody hears from a host that does not lead.
+ * @param leader - the leader's address, where it is known
+ * @returns the refusal
+ */
+export function notLeaderRefusal (leader = ''): wire.Refusal {
+  return toWireRefusal(notRun(RefusalCode.NotLeader, 'this control host does not lead', LEADER_RETRY_MILLISECONDS), leader)
+}
+
 /**
  * Converts a body for the wire.
  * @param content - the core's
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -6,7 +6,7 @@
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
 import { controlCalls, type CallPorts } from './calls'
-import { toWireRefusal } from './convert'
+import { notLeaderRefusal, toWireRefusal } from './convert'
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
 import { Machine, recordLines } from './machine'
 import { ControlMetrics } from './metrics'
@@ -297,7 +297,7 @@
   }
 
   private notLeader (): wire.Refusal {
-    return wire.Refusal.fromPartial({ code: 'not-leader', message: 'this control host does not lead', verdict: wire.Verdict.NOT_RUN, retryCanHelp: true, retryAfterMilliseconds: 50, leader: this.replica.leaderAddress() ?? '' })
+    return notLeaderRefusal(this.replica.leaderAddress())
   }
 
   private countRefusal (account: string, refusal: Refusal): void {
