--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 ]
 
 export default [
-  ...neostandard({ ts: true, ignores: ['node_modules', 'dist', 'src/wire/generated', 'schemas'] }),
+  ...neostandard({ ts: true, ignores: ['node_modules', 'dist', 'target', 'src/wire/generated', 'schemas'] }),
   { files: ['**/*.ts'], rules: { 'no-void': ['error', { allowAsStatement: true }] } },
   {
     files: ['src/**/*.ts', 'stand-ins/**/*.ts'],
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -11,10 +11,11 @@
   '@fastify/static', '@fastify/view', '@fastify/multipart'
 ]
 
-mkdirSync('dist', { recursive: true })
+const folder = process.argv.find((word) => word.startsWith('--folder='))?.slice('--folder='.length) ?? 'dist'
+mkdirSync(folder, { recursive: true })
 await build({
   entryPoints: ['src/command/main.ts'],
-  outfile: 'dist/bramleyflow.cjs',
+  outfile: `${folder}/bramleyflow.cjs`,
   bundle: true,
   platform: 'node',
   target: 'node20',
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { ChannelCredentials } from '@grpc/grpc-js'
+import { KnownHosts } from '../client/known-hosts'
 import { passesFence } from '../core/agreement-fence'
 import type { WorkerDescription } from '../core/worker'
 import type { AgentMessage, AttemptKey, ControlMessage, Heartbeat } from '../wire'
@@ -11,7 +12,7 @@
 import { eventOf, reportMessage, reservationMessage } from './messages'
 import { PlatformClient } from './platform'
 import { ReportReason } from './report'
-import { ControlStream } from './stream'
+import { ControlStream, type StreamProtocol } from './stream'
 import { QUESTION_CONNECTIONS, TargetClient } from './target'
 import { healthyTarget, isQuestionDue, questioned, type TargetHealth } from './target-watch'
 
@@ -68,6 +69,11 @@
 
 type EffectHandlers = { readonly [Kind in EffectKind]: (effect: Extract<Effect, { kind: Kind }>) => void }
 
+const attachProtocol: StreamProtocol<AgentMessage, ControlMessage> = {
+  open: (client) => client.attach(),
+  refusalOf: ({ message }) => message?.$case === 'refusal' ? message.value : undefined
+}
+
 /** The process beside one target: holds the worker's lease, runs attempts, and alone talks to the target. */
 export class Agent {
   private state: AgentState
@@ -82,7 +88,7 @@
   private usedProcessors = 0
   private watches = 0
   private targetHealth: TargetHealth = healthyTarget
-  private readonly stream: ControlStream
+  private readonly stream: ControlStream<AgentMessage, ControlMessage>
   private readonly platform: PlatformClient
   private readonly target: TargetClient
   /** Commands that wait for the platform's view, per attempt. */
@@ -99,7 +105,7 @@
     this.state = initialAgentState(randomUUID(), { accelerators, slots, connections })
     this.platform = PlatformClient.create(options.platformUrl)
     this.target = TargetClient.create(options.targetUrl, connections)
-    this.stream = ControlStream.create(options.controlHosts, {
+    this.stream = ControlStream.create(KnownHosts.create(options.controlHosts), attachProtocol, {
       opened: () => { this.announce() },
       received: (message) => { this.receive(message) },
       closed: () => { this.disconnected() }
--- a/src/agent/stream.ts
+++ b/src/agent/stream.ts
@@ -1,5 +1,6 @@
 import { credentials, type ChannelCredentials, type ClientDuplexStream } from '@grpc/grpc-js'
-import { ControlClient, type AgentMessage, type ControlMessage, type Refusal } from '../wire'
+import type { KnownHosts } from '../client/known-hosts'
+import { ControlClient, type Refusal } from '../wire'
 import { Backoff } from './backoff'
 
 /** Bounds of the wait before the next control host is dialled, in milliseconds. */
@@ -24,26 +25,32 @@
   'grpc.max_send_message_length': LARGEST_MESSAGE_BYTES
 }
 
+/** One of the streams that control offers to agents. */
+export interface StreamProtocol<Sent, Received> {
+  readonly open: (client: ControlClient) => ClientDuplexStream<Sent, Received>
+  /** The refusal in a message, where it is one. */
+  readonly refusalOf: (message: Received) => Refusal | undefined
+}
+
 /** What is told of the stream. */
-export interface StreamListener {
+export interface StreamListener<Received> {
   /** A host was dialled: the first message can be sent. */
   opened (): void
-  received (message: ControlMessage): void
+  received (message: Received): void
   /** The stream is gone; another is being looked for. */
   closed (): void
 }
 
-interface Connection {
+interface Connection<Sent, Received> {
   readonly client: ControlClient
-  readonly call: ClientDuplexStream<AgentMessage, ControlMessage>
+  readonly call: ClientDuplexStream<Sent, Received>
   readonly host: string
 }
 
 /** Keeps one stream to the leader, and looks for a new one when it is gone. */
-export class ControlStream {
-  private connection?: Connection
+export class ControlStream<Sent, Received> {
+  private connection?: Connection<Sent, Received>
   private readonly backoff = Backoff.create(RECONNECT_MILLISECONDS.first, RECONNECT_MILLISECONDS.longest)
-  private next: number
   private redirections = 0
   private running = false
   private dialTimer?: NodeJS.Timeout
@@ -51,28 +58,30 @@
   private silenceMilliseconds = FIRST_MESSAGE_MILLISECONDS
 
   private constructor (
-    private readonly hosts: readonly string[],
-    private readonly listener: StreamListener,
+    private readonly hosts: KnownHosts,
+    private readonly protocol: StreamProtocol<Sent, Received>,
+    private readonly listener: StreamListener<Received>,
     private readonly channelCredentials: ChannelCredentials
-  ) {
-    this.next = Math.floor(Math.random() * hosts.length)
-  }
+  ) {}
 
   /**
    * Makes a stream that is not yet dialled.
-   * @param hosts - the control hosts, as address and port
+   * @param hosts - where control hosts are
+   * @param protocol - which stream it is
    * @param listener - what is told of it
    * @param channelCredentials - plain text where none are given
    * @returns the stream
    */
-  static create (hosts: readonly string[], listener: StreamListener, channelCredentials = credentials.createInsecure()): ControlStream {
-    return new ControlStream(hosts, listener, channelCredentials)
+  static create<Sent, Received> (
+    hosts: KnownHosts, protocol: StreamProtocol<Sent, Received>, listener: StreamListener<Received>, channelCredentials = credentials.createInsecure()
+  ): ControlStream<Sent, Received> {
+    return new ControlStream(hosts, protocol, listener, channelCredentials)
   }
 
   /** Dials the first host. */
   start (): void {
     this.running = true
-    this.dial(this.nextHost())
+    this.dial(this.hosts.present)
   }
 
   /**
@@ -80,7 +89,7 @@
    * @param message - the message
    * @returns false where there is no stream
    */
-  send (message: AgentMessage): boolean {
+  send (message: Sent): boolean {
     if (this.connection === undefined) return false
     this.connection.call.write(message)
     return true
@@ -121,27 +130,28 @@
 
   private dial (host: string): void {
     if (!this.running) return
-    this.tryLast(host)
+    this.hosts.putLast(host)
     const client = new ControlClient(host, this.channelCredentials, channelOptions)
-    const call = client.attach()
-    const connection = { client, call, host }
+    const call = this.protocol.open(client)
+    const connection: Connection<Sent, Received> = { client, call, host }
     this.connection = connection
     this.silenceMilliseconds = FIRST_MESSAGE_MILLISECONDS
-    call.on('data', (message: ControlMessage) => { this.take(connection, message) })
+    call.on('data', (message: Received) => { this.take(connection, message) })
     call.on('error', () => { this.lose(connection) })
     call.on('end', () => { this.lose(connection) })
     this.watchSilence()
     this.listener.opened()
   }
 
-  private take (connection: Connection, message: ControlMessage): void {
+  private take (connection: Connection<Sent, Received>, message: Received): void {
     if (this.connection !== connection) return
     this.watchSilence()
-    if (message.message?.$case === 'refusal') this.redirect(connection, message.message.value)
+    const refusal = this.protocol.refusalOf(message)
+    if (refusal !== undefined) this.redirect(connection, refusal)
     else this.listener.received(message)
   }
 
-  private redirect (connection: Connection, refusal: Refusal): void {
+  private redirect (connection: Connection<Sent, Received>, refusal: Refusal): void {
     const known = refusal.code === NOT_LEADER && refusal.leader !== '' && refusal.leader !== connection.host
     const follow = known && this.redirections < FOLLOWED_REDIRECTIONS
     this.redirections = follow ? this.redirections + 1 : 0
@@ -149,7 +159,7 @@
   }
 
   /** With a host the dial follows at once, else after a wait to the next host of the list. */
-  private lose (connection: Connection, host?: string): void {
+  private lose (connection: Connection<Sent, Received>, host?: string): void {
     if (this.connection !== connection) return
     this.connection = undefined
     clearTimeout(this.silenceTimer)
@@ -159,27 +169,17 @@
     this.listener.closed()
     if (!this.running) return
     if (host !== undefined) this.dial(host)
-    else this.dialTimer = setTimeout(() => { this.dial(this.nextHost()) }, this.backoff.next())
+    else this.dialTimer = setTimeout(() => { this.dial(this.hosts.present) }, this.backoff.next())
   }
 
   private watchSilence (): void {
     clearTimeout(this.silenceTimer)
     this.silenceTimer = setTimeout(() => { this.drop() }, this.silenceMilliseconds)
   }
-
-  private nextHost (): string {
-    return this.hosts[this.next] ?? ''
-  }
-
-  /** A host that goes silent must not be the first to be dialled again. */
-  private tryLast (host: string): void {
-    const position = this.hosts.indexOf(host)
-    if (position >= 0) this.next = (position + 1) % this.hosts.length
-  }
 }
 
 /** Ends this side, and waits for the other side to have read everything. */
-async function ended (call: Connection['call']): Promise<void> {
+async function ended<Sent, Received> (call: Connection<Sent, Received>['call']): Promise<void> {
   await new Promise<void>((resolve) => {
     const timer = setTimeout(resolve, END_MILLISECONDS)
     const done = (): void => { clearTimeout(timer); resolve() }
--- a/src/entry/channels.ts
+++ b/src/client/channels.ts
@@ -1,7 +1,8 @@
 import { Client, credentials, type ChannelCredentials, type ChannelOptions } from '@grpc/grpc-js'
 import type { TlsFiles } from '../settings/index'
 
-const KEEPALIVE_MILLISECONDS = 2_000
+/** A channel that goes silent is noticed within a second. */
+const KEEPALIVE_MILLISECONDS = 500
 const MOST_MESSAGE_BYTES = 33_554_432
 
 /** A silent partition is noticed by keepalive; nothing is retried or balanced by the library. */
@@ -56,6 +57,15 @@
     return client
   }
 
+  /**
+   * Leaves a connection that went silent; the next call opens a new one.
+   * @param address - IP number and port
+   */
+  renew (address: string): void {
+    this.clients.get(address)?.close()
+    this.clients.delete(address)
+  }
+
   /** Closes all connections. */
   close (): void {
     for (const client of this.clients.values()) client.close()
--- a/src/entry/leader.ts
+++ b/src/client/leader.ts
@@ -4,12 +4,19 @@
 import type { Logger } from '../logging'
 import { Verdict, type Refusal as WireRefusal } from '../wire/index'
 import type { Channels } from './channels'
-import { mayHaveRun } from './refusal-answer'
+import type { KnownHosts } from './known-hosts'
+import { mayHaveRun } from './refusals'
+
+/** How long a unary call may take, in milliseconds. */
+export interface CallLimits {
+  /** One try of it. */
+  readonly tryMilliseconds: number
+  /** All its tries together. */
+  readonly callMilliseconds: number
+}
 
-/** Longest time of one try of a unary call. */
-const TRY_MILLISECONDS = 3_000
-/** Longest time of a unary call with all its tries. */
-const CALL_MILLISECONDS = 10_000
+/** Limits of calls whose callers name none: long enough for an election and a slow disk. */
+const defaultLimits: CallLimits = { tryMilliseconds: 3_000, callMilliseconds: 10_000 }
 /** A stream is opened anew after this time, so that no call is without a deadline. */
 const STREAM_MILLISECONDS = 600_000
 /** Longest wait for the first message of a stream. */
@@ -49,29 +56,28 @@
 export class Leader {
   private current: string | undefined
   private confirmed: string | undefined
-  private turn = 0
   private readonly streams = new Map<ClientReadableStream<unknown>, string>()
 
   private constructor (
-    private readonly hosts: readonly string[],
+    private readonly hosts: KnownHosts,
     private readonly channels: Channels,
     private readonly logger: Logger
   ) {}
 
   /**
    * Makes the search.
-   * @param hosts - addresses of control hosts
+   * @param hosts - where control hosts are
    * @param channels - connections to them
    * @param logger - for leader changes
    * @returns the search, which opens no connection yet
    */
-  static create (hosts: readonly string[], channels: Channels, logger: Logger): Leader {
+  static create (hosts: KnownHosts, channels: Channels, logger: Logger): Leader {
     return new Leader(hosts, channels, logger)
   }
 
   /** The control host to ask next: the leader where it is known. */
   get address (): string {
-    return this.current ?? this.hosts[this.turn % this.hosts.length] ?? ''
+    return this.current ?? this.hosts.present
   }
 
   /**
@@ -103,7 +109,7 @@
    */
   suspect (address: string): void {
     if (this.address !== address) return
-    if (this.current === undefined || this.hosts[this.turn % this.hosts.length] === address) this.turn += 1
+    if (this.current === undefined || this.hosts.present === address) this.hosts.advance()
     this.current = undefined
   }
 
@@ -112,16 +118,18 @@
    * @param method - a unary method of the Control service
    * @param request - its message
    * @param kind - whether it may be sent again
+   * @param limits - how long it may take
    * @returns the leader's reply, which may hold its refusal; or the refusal of this entry
    */
   async call<Request, Reply extends Refusable> (
-    method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind
+    method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind, limits = defaultLimits
   ): Promise<Result<Reply, Refusal>> {
-    const giveUpAt = Date.now() + CALL_MILLISECONDS
+    const giveUpAt = performance.now() + limits.callMilliseconds
     let sent = false
     for (const pause of pauses()) {
       const address = this.address
-      const reply = await this.tryOnce(address, method, request)
+      const left = Math.max(1, giveUpAt - performance.now())
+      const reply = await this.tryOnce(address, method, request, Math.min(left, limits.tryMilliseconds))
       if (reply instanceof BrokenCall) {
         sent ||= reply.sent && kind !== CallKind.Read
         this.suspect(address)
@@ -134,7 +142,7 @@
         if (sent && kind === CallKind.Once) break
         if (this.current !== undefined && pause === FIRST_PAUSE_MILLISECONDS) continue
       }
-      if (Date.now() + pause >= giveUpAt) break
+      if (performance.now() + pause >= giveUpAt) break
       await sleep(jittered(pause))
     }
     return err(noLeader(sent))
@@ -180,13 +188,18 @@
     }
   }
 
-  private tryOnce<Request, Reply> (address: string, method: MethodDefinition<Request, Reply>, request: Request): Promise<Reply | BrokenCall> {
+  private tryOnce<Request, Reply> (
+    address: string, method: MethodDefinition<Request, Reply>, request: Request, milliseconds: number
+  ): Promise<Reply | BrokenCall> {
     const client: Client = this.channels.to(address)
     return new Promise((resolve) => {
       client.makeUnaryRequest(
         method.path, method.requestSerialize, method.responseDeserialize, request, new Metadata(),
-        { deadline: Date.now() + TRY_MILLISECONDS },
-        (error, reply) => resolve(error !== null ? brokenBy(error) : reply ?? new BrokenCall('an empty reply', true)))
+        { deadline: Date.now() + milliseconds },
+        (error, reply) => {
+          if (error?.code === status.DEADLINE_EXCEEDED) this.channels.renew(address)
+          resolve(error !== null ? brokenBy(error) : reply ?? new BrokenCall('an empty reply', true))
+        })
     })
   }
 }
--- /dev/null
+++ b/src/command/deployed-roles.ts
@@ -0,0 +1,92 @@
+/** The roles as the users' platform runs them: each with the platform's door in front of it. */
+import { createLogger } from '../logging'
+import { Role, controlHostsOf, type DeploymentSettings, type Settings, type TlsFiles } from '../settings/index'
+import { logTo, startControl, startEntryHost, type RunningRole, type StartRole } from './roles'
+
+/** Time for open answers of the operator, and for the streams of an agent, to end. */
+const SHORT_STOP_MILLISECONDS = 1_500
+
+function deploymentOf ({ deployment }: Settings): DeploymentSettings {
+  if (deployment === undefined) throw new Error('the settings have no section deployment')
+  return deployment
+}
+
+function doorAddress (door: keyof DeploymentSettings & ('clients' | 'readiness' | 'operators' | 'workers'), deployment: DeploymentSettings): string {
+  const address = deployment[door]
+  if (address === undefined) throw new Error(`the section deployment names no address for ${door}`)
+  return address
+}
+
+async function startDeployedEntry (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+  const { ClientDoor } = await import('../../platform/index')
+  const deployment = deploymentOf(settings)
+  const entry = await startEntryHost(settings, tls)
+  const { host } = entry
+  const door = await ClientDoor.open({
+    address: doorAddress('clients', deployment), readinessAddress: doorAddress('readiness', deployment), queues: host.queues, ready: () => host.ready
+  })
+  return {
+    role: Role.Entry,
+    stopDeadlineMilliseconds: entry.stopDeadlineMilliseconds,
+    stop: async (deadlineMilliseconds) => {
+      await door.close()
+      return await entry.stop(deadlineMilliseconds)
+    },
+    reload: (fresh) => { host.hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
+  }
+}
+
+/** A control host without a disk keeps nothing: its door asks the leader. */
+async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+  const { Channels, KnownHosts, Leader, QueueClient } = await import('../client/index')
+  const { OperatorDoor } = await import('../../platform/operator')
+  const control = settings.control === undefined ? undefined : await startControl(settings, tls)
+  const hosts = KnownHosts.create(settings.controlHosts)
+  const channels = Channels.create(tls)
+  const queues = QueueClient.create(Leader.create(hosts, channels, createLogger(Role.Control, settings.logLevel)))
+  const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues })
+  return {
+    role: Role.Control,
+    stopDeadlineMilliseconds: (control?.stopDeadlineMilliseconds ?? 0) + SHORT_STOP_MILLISECONDS,
+    stop: async (deadlineMilliseconds) => {
+      await door.close()
+      channels.close()
+      return await control?.stop(deadlineMilliseconds) ?? []
+    },
+    reload: (fresh) => { hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
+  }
+}
+
+async function startSupervisor (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+  const { Supervisor } = await import('../agent/supervisor')
+  const { KnownHosts } = await import('../client/known-hosts')
+  const { WorkerClient, WorkerDoor } = await import('../../platform/worker')
+  const { mutualCredentials } = await import('./credentials')
+  const hosts = KnownHosts.create(settings.controlHosts)
+  const supervisor = Supervisor.create({
+    host: settings.host,
+    hosts,
+    worker: WorkerClient.create(),
+    credentials: mutualCredentials(tls).channelCredentials,
+    log: logTo(createLogger(Role.Agent, settings.logLevel))
+  })
+  const door = await WorkerDoor.open(doorAddress('workers', deploymentOf(settings)), supervisor)
+  supervisor.start()
+  return {
+    role: Role.Agent,
+    stopDeadlineMilliseconds: SHORT_STOP_MILLISECONDS,
+    stop: async () => {
+      await door.close()
+      await supervisor.stop()
+      return []
+    },
+    reload: (fresh) => { hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
+  }
+}
+
+/** How each role is started on the users' platform. */
+export const startDeployedRole: Readonly<Record<Role, StartRole>> = {
+  [Role.Control]: startDeployedControl,
+  [Role.Entry]: startDeployedEntry,
+  [Role.Agent]: startSupervisor
+}
--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -1,6 +1,8 @@
 import { createLogger, type Logger } from '../logging'
 import { ExitCode } from './exit-code'
-import { Role, type Settings, type TlsFiles } from '../settings/index'
+import type { ControlOptions } from '../control/index'
+import type { EntryHost } from '../entry/index'
+import { recordBytesOf, Role, type Settings, type TlsFiles } from '../settings/index'
 
 /** A role that runs in this process. */
 export interface RunningRole {
@@ -13,10 +15,12 @@
    * @returns what was left, one line each
    */
   readonly stop: (deadlineMilliseconds: number) => Promise<readonly string[]>
+  /** Takes settings that were read again; absent where they change nothing. */
+  readonly reload?: (settings: Settings) => void
 }
 
 /** Starts a role; throws where it cannot start. Its modules are loaded only then. */
-type StartRole = (settings: Settings, tls: TlsFiles | undefined) => Promise<RunningRole>
+export type StartRole = (settings: Settings, tls: TlsFiles | undefined) => Promise<RunningRole>
 
 const MILLISECONDS_PER_SECOND = 1_000
 /** Time for a control host to hand its leadership over. */
@@ -28,7 +32,12 @@
   return found
 }
 
-function logTo (logger: Logger): (event: string, fields: object) => void {
+/**
+ * Writes the events of a role to its log.
+ * @param logger - the logger of the role
+ * @returns takes an event and its fields
+ */
+export function logTo (logger: Logger): (event: string, fields: object) => void {
   return (event, fields) => logger.info(event, { ...fields })
 }
 
@@ -38,12 +47,20 @@
   process.exit(ExitCode.CannotStart)
 }
 
-async function startControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+/**
+ * Starts the control role.
+ * @param settings - the settings of the process
+ * @param tls - certificate files, undefined for plain connections
+ * @returns the running role
+ */
+export async function startControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { ControlHost } = await import('../control/index')
   const { mutualCredentials } = await import('./credentials')
   const { address, folder, voters, metrics: metricsAddress } = section(settings, Role.Control)
   const log = logTo(createLogger(Role.Control, settings.logLevel))
-  const created = await ControlHost.create({ host: settings.host, address, folder, voters, metricsAddress, log, onFailure: endAtOnce, ...mutualCredentials(tls) })
+  const created = await ControlHost.create({
+    host: settings.host, address, folder, voters, metricsAddress, log, onFailure: endAtOnce, ...mutualCredentials(tls), ...deploymentOptions(settings)
+  })
   if (created.isErr()) throw created.error
   const host = created.value
   host.start()
@@ -57,13 +74,26 @@
   }
 }
 
-async function startEntry (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+function deploymentOptions ({ deployment }: Settings): Pick<ControlOptions, 'founding' | 'wantedVoters' | 'workerLeaseMilliseconds' | 'recordBytes'> {
+  if (deployment === undefined) return {}
+  const { founding, hostsLostAtOnce, workerLeaseMilliseconds } = deployment
+  return { founding, wantedVoters: 2 * hostsLostAtOnce + 1, workerLeaseMilliseconds, recordBytes: recordBytesOf(deployment) }
+}
+
+/**
+ * Starts an entry.
+ * @param settings - the settings of the process
+ * @param tls - certificate files, undefined for plain connections
+ * @returns the running role with the entry
+ */
+export async function startEntryHost (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole & { readonly host: EntryHost }> {
   const { EntryHost } = await import('../entry/index')
   const entry = section(settings, Role.Entry)
   const logger = createLogger(Role.Entry, settings.logLevel)
   const host = EntryHost.create({ host: settings.host, settings: entry, controlHosts: settings.controlHosts, tls, logger })
   await host.start()
   return {
+    host,
     role: Role.Entry,
     stopDeadlineMilliseconds: entry.stopDeadlineSeconds * MILLISECONDS_PER_SECOND,
     stop: (deadlineMilliseconds) => host.stop(deadlineMilliseconds)
@@ -98,7 +128,7 @@
 /** How each role is started. */
 export const startRole: Readonly<Record<Role, StartRole>> = {
   [Role.Control]: startControl,
-  [Role.Entry]: startEntry,
+  [Role.Entry]: startEntryHost,
   [Role.Agent]: startAgent
 }
 
--- a/src/command/serve.ts
+++ b/src/command/serve.ts
@@ -2,6 +2,7 @@
 import { ExitCode } from './exit-code'
 import type { RunningRole } from './roles'
 import type { Settings } from '../settings/index'
+import { SettingsWatch } from './settings-watch'
 
 /** Stops everything that runs in this process, once; says what each role left. */
 class Shutdown {
@@ -44,6 +45,9 @@
   }
 }
 
+/** Names the settings file where the command line does not. */
+const SETTINGS_VARIABLE = 'BRAMLEYFLOW_CONFIG'
+
 const stopSignals = ['SIGTERM', 'SIGINT'] as const
 
 /** Time over a role's deadline for closing its sockets and files. */
@@ -61,11 +65,15 @@
     examples: [['Everything in one process', '$0 serve --settings examples/laptop.json'], ['Only look at the settings', '$0 serve --settings FILE --check']]
   })
 
-  settings = Option.String('--settings', { required: true, description: 'the settings file' })
+  settings = Option.String('--settings', { env: SETTINGS_VARIABLE, description: `the settings file; by default the one that ${SETTINGS_VARIABLE} names` })
   check = Option.Boolean('--check', false, { description: 'check the settings and end' })
 
   async execute (): Promise<ExitCode> {
     const { loadSettings, problemLines } = await import('../settings/index')
+    if (this.settings === undefined) {
+      this.complain(`no settings file: give one with --settings or in ${SETTINGS_VARIABLE}`)
+      return ExitCode.CannotStart
+    }
     const loaded = await loadSettings(this.settings)
     if (loaded.isErr()) {
       for (const line of problemLines(loaded.error)) this.complain(line)
@@ -75,11 +83,12 @@
       this.context.stdout.write(`${this.settings}: the settings are valid for ${loaded.value.roles.join(', ')}\n`)
       return ExitCode.Done
     }
-    return this.serve(loaded.value)
+    return this.serve(loaded.value, this.settings)
   }
 
-  private async serve (settings: Settings): Promise<ExitCode> {
+  private async serve (settings: Settings, path: string): Promise<ExitCode> {
     const running: RunningRole[] = []
+    const watch = SettingsWatch.create(path, (fresh) => { for (const role of running) role.reload?.(fresh) }, (line) => { this.complain(line) })
     const shutdown = new Shutdown(running, (line) => this.complain(line))
     const ended = new Promise<ExitCode>((resolve) => {
       const onSignal = (): void => { shutdown.signal().then(resolve, (error: Error) => resolve(this.failed('stop', error))) }
@@ -87,11 +96,14 @@
     })
     try {
       await startAll(settings, running)
+      watch.start()
     } catch (error) {
       await shutdown.signal()
       return this.failed('start', error as Error)
     }
-    return await ended
+    const code = await ended
+    watch.stop()
+    return code
   }
 
   private failed (what: string, error: Error): ExitCode {
@@ -108,7 +120,8 @@
   const { readTls } = await import('../settings/index')
   const { startOrder, startRole } = await import('./roles')
   const tls = await readTls(settings.tls)
+  const start = settings.deployment === undefined ? startRole : (await import('./deployed-roles')).startDeployedRole
   for (const role of startOrder) {
-    if (settings.roles.includes(role)) running.push(await startRole[role](settings, tls))
+    if (settings.roles.includes(role)) running.push(await start[role](settings, tls))
   }
 }
--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -30,6 +30,8 @@
   readonly committed: () => State
   readonly term: () => number
   readonly submit: (transaction: Transaction) => Promise<unknown>
+  /** Milliseconds since the epoch, going on steadily while this host leads. */
+  readonly now: () => number
   readonly log: (event: string, fields: object) => void
 }
 
@@ -151,7 +153,7 @@
     if (message.$case === 'announce') { this.announce(call, message.value); return }
     const stream = this.byCall.get(call)
     if (stream === undefined) return
-    stream.heardAt = Date.now()
+    stream.heardAt = this.ports.now()
     this.lastHeard.set(stream.worker, stream.heardAt)
     this.handlers[message.$case](stream, message as never)
   }
@@ -163,13 +165,13 @@
     },
     reservation: (stream, { value: reservation }) => { this.reservationReply(stream, reservation) },
     report: (stream, { value: report }) => { this.report(stream, report) },
-    leaving: (stream) => { this.submit({ kind: TransactionKind.LeaveWorker, at: Date.now(), worker: stream.worker }) }
+    leaving: (stream) => { this.submit({ kind: TransactionKind.LeaveWorker, at: this.ports.now(), worker: stream.worker }) }
   }
 
   private announce (call: AgentCall, announce: wire.Announce): void {
     const earlier = this.streams.get(announce.worker)
     if (earlier !== undefined && earlier.call !== call) earlier.call.end()
-    const stream: AgentStream = { call, worker: announce.worker, incarnation: announce.incarnation, heardAt: Date.now(), avoidUntil: 0, inForce: 0 }
+    const stream: AgentStream = { call, worker: announce.worker, incarnation: announce.incarnation, heardAt: this.ports.now(), avoidUntil: 0, inForce: 0 }
     this.streams.set(announce.worker, stream)
     this.byCall.set(call, stream)
     this.lastHeard.set(announce.worker, stream.heardAt)
@@ -191,8 +193,8 @@
     const job = key === undefined ? undefined : this.ports.head().jobs.get(key.job)
     if (key === undefined || job?.state !== JobState.Reserved || job.attempt?.number !== key.attempt) return
     if (!granted) {
-      if (reason === TARGET_SILENT) stream.avoidUntil = Date.now() + AVOID_MILLISECONDS
-      this.submit({ kind: TransactionKind.ReleaseJob, at: Date.now(), ...key, reason: Reason.MemberRefused })
+      if (reason === TARGET_SILENT) stream.avoidUntil = this.ports.now() + AVOID_MILLISECONDS
+      this.submit({ kind: TransactionKind.ReleaseJob, at: this.ports.now(), ...key, reason: Reason.MemberRefused })
       return
     }
     const name = `${key.job}.${key.attempt}`
@@ -200,13 +202,13 @@
     this.grants.set(name, granting.add(stream.worker))
     if (!job.attempt.members.every((member) => granting.has(member.worker))) return
     this.grants.delete(name)
-    this.submit({ kind: TransactionKind.StartJob, at: Date.now(), ...key })
+    this.submit({ kind: TransactionKind.StartJob, at: this.ports.now(), ...key })
   }
 
   private report (stream: AgentStream, report: wire.AttemptReport): void {
     const { key, answer } = report
     if (key === undefined) return
-    const at = Date.now()
+    const at = this.ports.now()
     const content = report.outcome === 'finished' && answer !== undefined ? fromWireContent(answer) : undefined
     if (content !== undefined) {
       this.submit({ kind: TransactionKind.FinishJob, at, ...key, worker: stream.worker, answer: content })
@@ -300,7 +302,8 @@
       sectionsJson: withLimits ? JSON.stringify({ limits: document.limits }) : '',
       whole: false,
       validMilliseconds: AGENT_LEASE_MILLISECONDS,
-      refusal: undefined
+      refusal: undefined,
+      controlHosts: []
     }
   }
 
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -1,26 +1,22 @@
 import type { sendUnaryData, ServerUnaryCall, ServerWritableStream, UntypedServiceImplementation } from '@grpc/grpc-js'
-import type { Result } from 'neverthrow'
 import {
-  checkPut, consequenceLines, documentDigest, hasEnded, notRun, Reason, RefusalCode, storedAnswer, TransactionKind, type Job, type Refusal, type Section, type State, type Transaction
+  checkPut, consequenceLines, documentDigest, hasEnded, notRun, Reason, RefusalCode, storedAnswer, TransactionKind, type Job, type Refusal, type Section, type State
 } from '../core/index'
 import * as wire from '../wire/index'
 import type { AgentCall } from './agents'
 import { fromWireJob, notLeaderRefusal, refusalReport, toReport, toWireRefusal } from './convert'
 import type { FollowerCall } from './followers'
+import { answerQueue, readDocument, replaceDocument, type QueuePorts } from './queue-calls'
+import type { SupervisorCall } from './supervisors'
 import type { Waiters } from './waiters'
 
 /** What the calls need of their control host. */
-export interface CallPorts {
-  readonly leads: () => boolean
-  readonly leader: () => string
-  readonly committed: () => State
+export interface CallPorts extends QueuePorts {
   /** The state with all proposed entries applied. */
   readonly head: () => State
-  readonly submit: (transaction: Transaction) => Promise<Result<void, Refusal>>
-  /** Confirms leadership with a quorum; false where that cannot be had. */
-  readonly confirm: () => Promise<boolean>
   readonly attach: (call: AgentCall) => void
   readonly follow: (call: FollowerCall) => void
+  readonly supervise: (call: SupervisorCall) => void
   readonly countRefusal: (account: string, refusal: Refusal) => void
   readonly status: () => wire.StatusReply
   readonly changeMembers: (request: wire.ChangeMembersRequest) => Promise<wire.ChangeMembersReply>
@@ -53,11 +49,22 @@
     getConfiguration: unary(ports, () => Promise.resolve(configurationReply(ports.committed())), configurationRefusal),
     status: (call, callback) => { void status(ports, call.request).then((reply) => { callback(null, reply) }) },
     changeMembers: unary(ports, (request) => ports.changeMembers(request), (refusal) => ({ refusal, members: [] })),
-    exportRecord: (call) => { exportRecord(ports, call) }
+    exportRecord: (call) => { exportRecord(ports, call) },
+    supervise: (call) => { ports.supervise(call) },
+    queue: direct((request) => answerQueue(ports, request)),
+    replaceDocument: direct((request) => replaceDocument(ports, request)),
+    readDocument: direct(() => readDocument(ports))
   }
   return implementation as unknown as UntypedServiceImplementation
 }
 
+/** Answers without confirming leadership first: the handler sees to it. */
+function direct<Request, Reply> (handle: (request: Request) => Promise<Reply>): Unary<Request, Reply> {
+  return (call, callback) => {
+    handle(call.request).then((reply) => { callback(null, reply) }, (error: Error) => { callback(error) })
+  }
+}
+
 /** Answers on the leader, after it confirmed its leadership; else refuses with the leader's address. */
 function unary<Request, Reply> (ports: CallPorts, handle: (request: Request) => Promise<Reply>, refused: (refusal: wire.Refusal) => Reply): Unary<Request, Reply> {
   return (call, callback) => {
@@ -76,7 +83,7 @@
   const { job, wait } = call.request
   if (job === undefined || !ports.leads()) { finishReports(call, refusalReport(notLeader(ports), job?.identifier ?? '')); return }
   const specification = fromWireJob(job)
-  const outcome = await ports.submit({ kind: TransactionKind.AcceptJob, at: Date.now(), identifier: job.identifier, specification })
+  const outcome = await ports.submit({ kind: TransactionKind.AcceptJob, at: ports.now(), identifier: job.identifier, specification })
   if (outcome.isErr()) {
     ports.countRefusal(specification.account, outcome.error)
     finishReports(call, refusalReport(toWireRefusal(outcome.error, ports.leader()), job.identifier))
@@ -139,7 +146,7 @@
 }
 
 async function cancel (ports: CallPorts, { identifiers, account }: wire.CancelRequest): Promise<wire.CancelReply> {
-  const outcome = await ports.submit({ kind: TransactionKind.CancelJobs, at: Date.now(), jobs: identifiers, account, reason: Reason.CancelledByCaller })
+  const outcome = await ports.submit({ kind: TransactionKind.CancelJobs, at: ports.now(), jobs: identifiers, account, reason: Reason.CancelledByCaller })
   if (outcome.isErr()) return { refusal: toWireRefusal(outcome.error, ports.leader()), jobs: [] }
   return { refusal: undefined, jobs: identifiers.map((identifier) => show(ports, identifier, account)) }
 }
@@ -149,7 +156,7 @@
   if (checked.isErr()) return refusedPut(ports, checked.error)
   const { transaction, answered } = checked.value
   // A resend is proposed like the first try, so that its answer waits for the commit of the entry it repeats.
-  const outcome = await ports.submit({ ...transaction, at: Date.now() })
+  const outcome = await ports.submit({ ...transaction, at: ports.now() })
   if (outcome.isErr()) return refusedPut(ports, outcome.error)
   const { configuration } = ports.committed()
   const answer = answered ?? storedAnswer(configuration, request.team, request.requestIdentifier)
--- a/src/control/followers.ts
+++ b/src/control/followers.ts
@@ -19,16 +19,19 @@
 export class Followers {
   private readonly followers = new Map<FollowerCall, Follower>()
 
-  private constructor (private readonly committed: () => State, private readonly term: () => number) {}
+  private constructor (
+    private readonly committed: () => State, private readonly term: () => number, private readonly controlHosts: () => string[]
+  ) {}
 
   /**
    * Makes the leader's side with no streams.
    * @param committed - the committed state
    * @param term - the present term
+   * @param controlHosts - addresses of the present control hosts
    * @returns the object
    */
-  static create (committed: () => State, term: () => number): Followers {
-    return new Followers(committed, term)
+  static create (committed: () => State, term: () => number, controlHosts: () => string[]): Followers {
+    return new Followers(committed, term, controlHosts)
   }
 
   /** Takes a new stream and sends the whole document. */
@@ -73,7 +76,8 @@
       sectionsJson: changed.length === 0 ? '' : JSON.stringify(content),
       whole,
       validMilliseconds: COPY_VALID_MILLISECONDS,
-      refusal: undefined
+      refusal: undefined,
+      controlHosts: this.controlHosts()
     }
   }
 }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -8,6 +8,7 @@
 import { controlCalls, type CallPorts } from './calls'
 import { notLeaderRefusal, toWireRefusal } from './convert'
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
+import { LeaderClock } from './leader-clock'
 import { Machine, recordLines } from './machine'
 import { ControlMetrics } from './metrics'
 import { claimFolder } from './owner'
@@ -15,6 +16,7 @@
 import {
   AgreementRefusal, MemberChangeKind, Replica, Role, type MemberChange, type MemberChangeError, type NotLeader
 } from './replica'
+import { refuse, Supervisors, type SupervisorCall } from './supervisors'
 import { clusterView } from './view'
 import { Waiters } from './waiters'
 
@@ -31,11 +33,21 @@
   readonly channelCredentials?: grpc.ChannelCredentials
   /** Where /metrics is served, an IP number and a port; nowhere by default. */
   readonly metricsAddress?: string
+  /** See {@link ReplicaOptions.founding}. */
+  readonly founding?: boolean
+  /** How many voters there should be, by what may be lost at once; operators decide where it is absent. */
+  readonly wantedVoters?: number
+  /** Longest time for which a supervised worker may run without hearing from a leader, in milliseconds. */
+  readonly workerLeaseMilliseconds?: number
+  /** Most bytes of the audit record that are kept. */
+  readonly recordBytes?: number
   /** The data folder failed: nothing is promised any more, and the process should end. */
   readonly onFailure?: (message: string) => void
   readonly log: (event: string, fields: object) => void
 }
 
+/** Lease of a supervised worker where the settings give none, in milliseconds. */
+const WORKER_LEASE_MILLISECONDS = 6_000
 /** Time between two looks at leases and overdue reservations, in milliseconds. */
 const TICK_MILLISECONDS = 50
 /** Time between two entries that forget ended jobs, in milliseconds. */
@@ -83,7 +95,9 @@
   private readonly server = new grpc.Server(serverOptions)
   private readonly machine: Machine
   private readonly agents: Agents
+  private readonly supervisors: Supervisors
   private readonly followers: Followers
+  private readonly clock = LeaderClock.create()
   private readonly waiters = Waiters.create()
   private readonly metrics = ControlMetrics.create({
     leads: () => Number(this.machine.leads),
@@ -107,7 +121,7 @@
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
       onCommitted: (applied, leading) => { this.committed(applied, leading) },
-      decide: (head) => decide(head, { now: Date.now(), silent: this.agents.silent(Date.now()) }),
+      decide: (head) => decide(head, { now: this.clock.now(), silent: this.agents.silent(this.clock.now()), fleet: this.supervisors.view() }),
       onCommitTime: (milliseconds) => { this.metrics.committed(milliseconds) },
       soon: (run) => { setImmediate(run) },
       onRefusedDecision: (transaction, refusal) => { this.options.log('decision-refused', { transaction, refusal }) }
@@ -117,10 +131,17 @@
       committed: () => this.machine.committed,
       term: () => this.term,
       submit: (transaction: Transaction) => this.machine.submit(transaction),
+      now: () => this.clock.now(),
       log: options.log
     }
     this.agents = Agents.create(state)
-    this.followers = Followers.create(state.committed, state.term)
+    this.supervisors = Supervisors.create({
+      ...state,
+      confirm: () => this.confirm(),
+      controlHosts: () => this.controlHosts(),
+      leaseMilliseconds: options.workerLeaseMilliseconds ?? WORKER_LEASE_MILLISECONDS
+    })
+    this.followers = Followers.create(state.committed, state.term, () => this.controlHosts())
   }
 
   /**
@@ -129,7 +150,7 @@
    * @returns the host, or why it could not start
    */
   static async create (options: ControlOptions): Promise<Result<ControlHost, Error>> {
-    const record = RecordStore.open(options.folder)
+    const record = RecordStore.open(options.folder, { keptBytes: options.recordBytes })
     if (record.isErr()) return err(record.error)
     if (record.value.cut !== undefined) options.log('record-cut', { at: record.value.cut })
     const host = new ControlHost(options, record.value)
@@ -140,6 +161,8 @@
       folder: options.folder,
       address: options.address,
       bootstrap: options.voters,
+      founding: options.founding,
+      wantedVoters: options.wantedVoters,
       host: options.host,
       server: host.server,
       credentials: options.channelCredentials,
@@ -166,7 +189,7 @@
       setInterval(() => { this.tick() }, TICK_MILLISECONDS),
       setInterval(() => { this.followers.push([]) }, CONFIRM_MILLISECONDS),
       setInterval(() => { this.flushRefusals() }, REFUSALS_MILLISECONDS),
-      setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: Date.now() }) }, EXPIRE_MILLISECONDS)
+      setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_MILLISECONDS)
     ]
   }
 
@@ -217,12 +240,27 @@
     const leads = role === Role.Leader
     if (leads === this.machine.leads) return
     this.options.log(leads ? 'leading' : 'not-leading', { term })
-    if (leads) this.agents.begin(Date.now())
+    if (leads) this.beginLeading()
     this.machine.lead(leads)
     if (!leads) this.giveUp()
   }
 
+  private beginLeading (): void {
+    this.clock.begin(this.machine.committed.time)
+    this.agents.begin(this.clock.now())
+    this.supervisors.begin()
+  }
+
+  private async confirm (): Promise<boolean> {
+    return (await this.replica.confirmLeadership()).isOk()
+  }
+
+  private controlHosts (): string[] {
+    return this.replica.status().members.map(({ address }) => address)
+  }
+
   private giveUp (): void {
+    this.supervisors.end(this.replica.leaderAddress())
     this.agents.end(this.replica.leaderAddress())
     this.followers.end(this.notLeader())
     this.waiters.abandon()
@@ -230,7 +268,7 @@
 
   private tick (): void {
     if (!this.machine.leads) return
-    for (const transaction of this.agents.overdue(Date.now())) this.submit(transaction)
+    for (const transaction of [...this.agents.overdue(this.clock.now()), ...this.supervisors.overdue()]) this.submit(transaction)
     this.machine.wake()
   }
 
@@ -247,9 +285,14 @@
     this.record.append(recordLines(applied))
     if (!leading) return
     const changed = new Set<Section>()
+    const lives = new Set<string>()
     for (const { effects } of applied) {
-      for (const effect of effects) this.carryOut(effect, changed)
+      for (const effect of effects) {
+        this.carryOut(effect, changed)
+        if (effect.kind === EffectKind.LifeChanged) lives.add(effect.incarnation)
+      }
     }
+    this.supervisors.changed(lives)
     if (changed.size === 0) return
     this.followers.push([...changed])
     this.agents.pushConfiguration([...changed])
@@ -273,7 +316,10 @@
       committed: () => this.machine.committed,
       head: () => this.machine.head,
       submit: (transaction) => this.machine.submit(transaction),
-      confirm: async () => (await this.replica.confirmLeadership()).isOk(),
+      confirm: () => this.confirm(),
+      now: () => this.clock.now(),
+      log: this.options.log,
+      supervise: (call) => { this.supervise(call) },
       attach: (call) => { this.attach(call) },
       follow: (call) => { this.follow(call) },
       countRefusal: (account, refusal) => { this.countRefusal(account, refusal) },
@@ -290,6 +336,11 @@
     call.end()
   }
 
+  private supervise (call: SupervisorCall): void {
+    if (this.machine.leads) this.supervisors.attach(call)
+    else refuse(call, this.replica.leaderAddress())
+  }
+
   private follow (call: FollowerCall): void {
     if (this.machine.leads) { this.followers.follow(call); return }
     call.write(wire.ConfigurationUpdate.fromPartial({ refusal: this.notLeader() }))
@@ -311,7 +362,7 @@
   private flushRefusals (): void {
     if (!this.machine.leads) return
     for (const { account, code, count, message } of this.refusals.values()) {
-      this.submit({ kind: TransactionKind.Refuse, at: Date.now(), account, code, count, message })
+      this.submit({ kind: TransactionKind.Refuse, at: this.clock.now(), account, code, count, message })
     }
     this.refusals.clear()
   }
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -26,8 +26,9 @@
 /** Settings of the channels between control hosts: no retries by the library, and silence is noticed. */
 const channelOptions = {
   'grpc.enable_retries': 0,
-  'grpc.keepalive_time_ms': 2000,
-  'grpc.keepalive_timeout_ms': 1000,
+  // A channel that goes silent must be left for a new one well within the time of an election or two.
+  'grpc.keepalive_time_ms': 500,
+  'grpc.keepalive_timeout_ms': 500,
   'grpc.keepalive_permit_without_calls': 1,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.min_reconnect_backoff_ms': 100,
@@ -180,13 +181,13 @@
 
   private streamOf (link: Link, message: Message): ClientWritableStream<PeerMessage> | undefined {
     if (link.stream !== undefined) return link.stream
-    if (Date.now() < link.reopenAt) return undefined
+    if (performance.now() < link.reopenAt) return undefined
     const stream = link.client.exchange(this.metadata(message), (error) => {
       if (link.stream !== stream) return
       link.stream = undefined
       link.waitingBytes = 0
       const wrong = error?.code === status.FAILED_PRECONDITION
-      link.reopenAt = Date.now() + (wrong ? WRONG_IDENTITY_MILLISECONDS : REOPEN_MILLISECONDS)
+      link.reopenAt = performance.now() + (wrong ? WRONG_IDENTITY_MILLISECONDS : REOPEN_MILLISECONDS)
     })
     stream.on('error', () => {})
     link.stream = stream
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -22,7 +22,9 @@
 
 const TICK_MILLISECONDS = 50
 const JOIN_MILLISECONDS = 300
-const REPAIR_MILLISECONDS = 500
+const REPAIR_MILLISECONDS = 200
+/** Time without a leader after which a member asks whether it is one still, in milliseconds. */
+const LEADERLESS_MILLISECONDS = 1_500
 const SNAPSHOT_BYTES = 4 * 1024 * 1024
 const KEPT_BYTES = 1024 * 1024
 const ENTRY_BYTES = 32
@@ -67,6 +69,10 @@
   readonly address: string
   /** Addresses of the first voters; used only while the data folder belongs to no cluster. */
   readonly bootstrap: readonly string[]
+  /** False where this host may not found a cluster, only join one. True by default. */
+  readonly founding?: boolean
+  /** How many voters there should be; lost ones are replaced by learners then. Operators decide where it is absent. */
+  readonly wantedVoters?: number
   /** Name of this host in the settings. */
   readonly host: string
   /** Gets the Peer service; the caller binds it. */
@@ -376,12 +382,30 @@
       return
     }
     this.handle({ kind: InputKind.Tick })
+    this.askAgain(now)
     if (now >= this.nextRepair) {
       this.nextRepair = now + REPAIR_MILLISECONDS
       this.repair()
     }
   }
 
+  /** A member that hears no leader may have been replaced meanwhile: then it comes back as a learner. */
+  private askAgain (now: number): void {
+    const { role, leaderHeardAt, identity } = this.state
+    if (role === Role.Leader || this.options.wantedVoters === undefined) { this.nextJoin = now + LEADERLESS_MILLISECONDS; return }
+    if (now < this.nextJoin || now - leaderHeardAt < LEADERLESS_MILLISECONDS) return
+    this.nextJoin = now + LEADERLESS_MILLISECONDS
+    const addresses = new Set([...this.options.bootstrap, ...currentMembers(this.state).filter((member) => member.identity !== identity).map(({ address }) => address)])
+    addresses.delete(this.options.address)
+    void this.joinThrough([...addresses])
+  }
+
+  private async joinThrough (addresses: readonly string[]): Promise<void> {
+    const replies = await Promise.all(addresses.map(async (address) => await this.peers.identify(address)))
+    const leader = replies.flatMap((reply) => reply.isOk() && reply.value.cluster === this.state.cluster && reply.value.leader !== '' ? [reply.value.leader] : [])[0]
+    if (leader !== undefined && !this.stopped) await this.askToJoin(leader)
+  }
+
   /**
    * A host of no cluster: the first of the bootstrap list founds one, but only when every other of the list says
    * that it belongs to none. In all other cases it asks to be added as a learner.
@@ -394,7 +418,7 @@
     if (this.stopped || this.founding || this.state.cluster !== '') return
     const inCluster = known.find((answer) => answer.cluster !== '')
     if (inCluster !== undefined) { await this.askToJoin(inCluster.leader === '' ? inCluster.address : inCluster.leader); return }
-    if (bootstrap[0] === address && known.length === others.length) await this.found(known)
+    if (this.options.founding !== false && bootstrap[0] === address && known.length === others.length) await this.found(known)
   }
 
   private async askToJoin (address: string): Promise<void> {
@@ -428,7 +452,7 @@
 
   private repair (): void {
     if (!isReadyLeader(this.state)) return
-    const change = nextRepair(this.state)
+    const change = nextRepair(this.state, this.options.wantedVoters)
     if (change !== undefined) this.handle({ kind: InputKind.ChangeMembers, change })
   }
 }
--- a/src/core/account-statement.ts
+++ b/src/core/account-statement.ts
@@ -49,7 +49,7 @@
   startedAt: number
   /** 0 while it is open. */
   endedAt: number
-  state: JobState
+  state: NonNullable<RecordEvent['state']>
   verdict?: Verdict
   reason?: string
   /** How often an answer was recorded: never more than once. */
@@ -134,7 +134,7 @@
   private onGuarantee = 0
   private borrowed = 0
 
-  private readonly handlers: { readonly [kind in TransactionKind]?: Handler } = {
+  private readonly handlers: { readonly [kind in RecordEvent['kind']]?: Handler } = {
     [TransactionKind.PutConfiguration]: (event) => { this.readPromise(event) },
     [TransactionKind.SetHomes]: (event) => { this.readHome(event) },
     [TransactionKind.AcceptJob]: (event) => { this.readAccepted(event) },
--- a/src/core/agreement-members.ts
+++ b/src/core/agreement-members.ts
@@ -8,6 +8,10 @@
 const VOTERS_MOST = 7
 const LEARNERS_MOST = 7
 const LAG_MOST_ENTRIES = 256
+/** Silence after which a voter is replaced where a learner is ready, in milliseconds: well above a leader's lease. */
+const VOTER_GONE_MILLISECONDS = 1_200
+/** Silence after which a learner is dropped, in milliseconds; it asks to join again when it is back. */
+const LEARNER_GONE_MILLISECONDS = 5_000
 
 type Change = (step: Step, members: readonly Member[], change: MemberChange) => readonly Member[] | AgreementRefusal
 
@@ -31,18 +35,38 @@
 }
 
 /**
- * The next change after a host came back with an emptied folder: first its new identity votes, then the old one goes.
+ * The next change after a host was lost: first its successor votes, then the old member goes.
  * In this order every entry committed in between is on all hosts that are left.
  * @param state - the leader's state
+ * @param wantedVoters - how many voters there should be; without it only hosts that came back with an emptied folder are replaced
  * @returns the change to make, undefined where there is nothing to repair
  */
-export function nextRepair (state: AgreementState): MemberChange | undefined {
+export function nextRepair (state: AgreementState, wantedVoters?: number): MemberChange | undefined {
   const members = currentMembers(state)
   const voters = members.filter((member) => member.voter)
   const replaced = voters.find((voter, position) => voters.slice(position + 1).some((later) => later.address === voter.address))
   if (replaced !== undefined) return { kind: MemberChangeKind.Remove, identity: replaced.identity }
   const newcomer = members.find((member) => !member.voter && voters.some((voter) => voter.address === member.address))
-  return newcomer === undefined ? undefined : { kind: MemberChangeKind.Promote, identity: newcomer.identity }
+  if (newcomer !== undefined) return { kind: MemberChangeKind.Promote, identity: newcomer.identity }
+  return wantedVoters === undefined ? undefined : replacement(state, members, wantedVoters)
+}
+
+/** Keeps the number of voters: a learner that is heard takes the place of a voter that is not. */
+function replacement (state: AgreementState, members: readonly Member[], wantedVoters: number): MemberChange | undefined {
+  const silence = ({ identity }: Member): number => identity === state.identity ? 0 : state.now - (state.peers.get(identity)?.heardAt ?? state.now)
+  const voters = members.filter((member) => member.voter)
+  const gone = voters.find((voter) => silence(voter) > VOTER_GONE_MILLISECONDS)
+  if (gone !== undefined && voters.length > wantedVoters) return { kind: MemberChangeKind.Remove, identity: gone.identity }
+  const learners = members.filter((member) => !member.voter)
+  const ready = learners.find((learner) => silence(learner) < state.timing.lease && caughtUp(state, learner.identity))
+  if (ready !== undefined && (gone !== undefined || voters.length < wantedVoters)) return { kind: MemberChangeKind.Promote, identity: ready.identity }
+  const left = learners.find((learner) => silence(learner) > LEARNER_GONE_MILLISECONDS)
+  return left === undefined ? undefined : { kind: MemberChangeKind.Remove, identity: left.identity }
+}
+
+function caughtUp (state: AgreementState, identity: string): boolean {
+  const match = state.peers.get(identity)?.match ?? 0
+  return match + LAG_MOST_ENTRIES >= state.commit && match >= state.readyIndex
 }
 
 function membersAfter (step: Step, change: MemberChange): readonly Member[] | AgreementRefusal {
@@ -64,8 +88,7 @@
   const learner = members.find((member) => member.identity === change.identity)
   if (learner === undefined) return AgreementRefusal.UnknownMember
   if (learner.voter) return AgreementRefusal.AlreadyMember
-  const match = step.state.peers.get(change.identity)?.match ?? 0
-  if (match + LAG_MOST_ENTRIES < step.state.commit || match < step.state.readyIndex) return AgreementRefusal.NotCaughtUp
+  if (!caughtUp(step.state, change.identity)) return AgreementRefusal.NotCaughtUp
   const after = members.map((member) => member === learner ? { ...member, voter: true } : member)
   const addresses = new Set(after.filter((member) => member.voter).map((member) => member.address))
   if (addresses.size > VOTERS_MOST) return AgreementRefusal.TooManyMembers
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -5,6 +5,10 @@
 import type { Effect } from './effect'
 import { acceptJob, cancelJobs, endAttempt, endJobs, expire, finishJob, refuse, releaseJob, reserveJob, startJob, stopJob } from './jobs'
 import type { RecordLine } from './record'
+import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
+import { announceLife, leaveLife, loseLife } from './steps/lives'
+import { endRuns, startGang, stopGang } from './steps/runs'
+import { StepTransactionKind } from './steps/transactions'
 import type { State } from './state'
 import { TransactionKind, type Transaction } from './transaction'
 import type { Refusal } from './verdict'
@@ -20,10 +24,10 @@
   readonly outcome: Result<void, Refusal>
 }
 
-type Handler<Kind extends TransactionKind> =
+type Handler<Kind extends Transaction['kind']> =
   (draft: Draft, transaction: Extract<Transaction, { kind: Kind }>) => Result<void, Refusal>
 
-const handlers: { readonly [Kind in TransactionKind]: Handler<Kind> } = {
+const handlers: { readonly [Kind in Transaction['kind']]: Handler<Kind> } = {
   [TransactionKind.PutConfiguration]: putConfiguration,
   [TransactionKind.AnnounceWorker]: announceWorker,
   [TransactionKind.LoseWorker]: loseWorker,
@@ -38,9 +42,18 @@
   [TransactionKind.CancelJobs]: cancelJobs,
   [TransactionKind.EndJobs]: endJobs,
   [TransactionKind.Refuse]: refuse,
-  [TransactionKind.Expire]: expire,
+  [TransactionKind.Expire]: (draft, transaction) => { expireStepJobs(draft); return expire(draft, transaction) },
   [TransactionKind.SetHomes]: setHomes,
-  [TransactionKind.ReturnWorker]: returnWorker
+  [TransactionKind.ReturnWorker]: returnWorker,
+  [StepTransactionKind.ReplaceDocument]: replaceDocument,
+  [StepTransactionKind.SubmitSteps]: submitSteps,
+  [StepTransactionKind.CancelSteps]: cancelSteps,
+  [StepTransactionKind.StartGang]: startGang,
+  [StepTransactionKind.StopGang]: stopGang,
+  [StepTransactionKind.EndRuns]: endRuns,
+  [StepTransactionKind.AnnounceLife]: announceLife,
+  [StepTransactionKind.LeaveLife]: leaveLife,
+  [StepTransactionKind.LoseLife]: loseLife
 }
 
 /**
@@ -51,7 +64,7 @@
  */
 export function apply (state: State, transaction: Transaction): Applied {
   const draft = Draft.create(state, Math.max(state.time, transaction.at))
-  const handler = handlers[transaction.kind] as Handler<TransactionKind>
+  const handler = handlers[transaction.kind] as Handler<Transaction['kind']>
   const outcome = handler(draft, transaction as never)
   if (outcome.isErr()) return { state, effects: [], lines: [], outcome }
   return { ...draft.finish(), outcome }
--- a/src/core/decide.ts
+++ b/src/core/decide.ts
@@ -4,6 +4,7 @@
 import { holdable } from './placement'
 import { Queue, type Entry } from './queue'
 import type { State } from './state'
+import { scheduleSteps, type FleetView } from './steps/schedule'
 import { TransactionKind, type Transaction } from './transaction'
 
 /** What the leader knows beside the log; rebuilt from agents after a leader change. */
@@ -12,6 +13,8 @@
   readonly now: number
   /** Workers that have missed heartbeats and whose lease has not run out yet: they get no new work. None by default. */
   readonly silent?: ReadonlySet<string>
+  /** What is known of workers that run tasks of jobs of steps; without it none are started. */
+  readonly fleet?: FleetView
 }
 
 /** Milliseconds after which a reservation is released that not all members have granted. */
@@ -28,6 +31,10 @@
  * @returns transactions to propose, in order; none when there is nothing to do now
  */
 export function decide (state: State, soft: SoftState): Transaction[] {
+  if (soft.fleet !== undefined) {
+    const decisions = scheduleSteps(state.steps, soft.fleet)
+    if (decisions.length > 0) return decisions
+  }
   const queue = Queue.of(state)
   const due = [...overdueReservations(state, soft.now), ...hopelessJobs(state, queue, soft.now)]
   if (due.length > 0) return due
--- a/src/core/draft.ts
+++ b/src/core/draft.ts
@@ -30,6 +30,8 @@
   private reserved: State['reserved']
   private estimates: State['estimates']
   private retries: State['retries']
+  /** Jobs of steps; their handlers put a new one in its place. */
+  steps: State['steps']
   private record: State['record']
   private readonly effects: Effect[] = []
   private readonly lines: RecordLine[] = []
@@ -51,6 +53,7 @@
     this.reserved = state.reserved
     this.estimates = state.estimates
     this.retries = state.retries
+    this.steps = state.steps
     this.record = state.record
   }
 
@@ -147,9 +150,9 @@
 
   /** @returns the new state with what was collected. */
   finish (): { state: State, effects: readonly Effect[], lines: readonly RecordLine[] } {
-    const { workers, jobs, open, queued, spent, usage, accounts, homeMap: homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, record } = this
+    const { workers, jobs, open, queued, spent, usage, accounts, homeMap: homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, steps, record } = this
     const state = {
-      time: this.at, configuration: this.configurationState, workers, jobs, open, queued, spent, usage, accounts, homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, record
+      time: this.at, configuration: this.configurationState, workers, jobs, open, queued, spent, usage, accounts, homes, fleetGrewAt, missingHomes, homeHolders, reserved, estimates, retries, steps, record
     }
     return { state, effects: this.effects, lines: this.lines }
   }
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -13,7 +13,11 @@
   /** A job moved: tell those who wait for it. */
   JobMoved = 'job-moved',
   /** The document changed: push it. */
-  ConfigurationChanged = 'configuration-changed'
+  ConfigurationChanged = 'configuration-changed',
+  /** What a worker should run, or what is recorded of it, changed: tell its agent. */
+  LifeChanged = 'life-changed',
+  /** Another numbered document is in force. */
+  DocumentReplaced = 'document-replaced'
 }
 
 /** An effect meant for the agent of one worker. */
@@ -34,5 +38,17 @@
   readonly sections: readonly Section[]
 }
 
+/** Something changed for one incarnation of a worker. */
+export interface LifeChanged {
+  readonly kind: EffectKind.LifeChanged
+  readonly incarnation: string
+}
+
+/** Another numbered document is in force. */
+export interface DocumentReplaced {
+  readonly kind: EffectKind.DocumentReplaced
+  readonly number: number
+}
+
 /** See {@link EffectKind}. */
-export type Effect = AgentEffect | JobMoved | ConfigurationChanged
+export type Effect = AgentEffect | JobMoved | ConfigurationChanged | LifeChanged | DocumentReplaced
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -2,6 +2,8 @@
 import type { ClientAccount, Guarantee, Section, Shape } from './document'
 import type { JobState, Reason } from './job'
 import type { RecordHead } from './state'
+import type { StepJobState } from './steps/model'
+import type { StepTransactionKind } from './steps/transactions'
 import type { TransactionKind } from './transaction'
 import type { Verdict } from './verdict'
 
@@ -16,13 +18,13 @@
 
 /** One thing that was decided, as it stands in the audit trail. */
 export interface RecordEvent {
-  readonly kind: TransactionKind
+  readonly kind: TransactionKind | StepTransactionKind
   /** Milliseconds since the epoch. */
   readonly at: number
   readonly account?: string
   readonly job?: string
   readonly attempt?: number
-  readonly state?: JobState
+  readonly state?: JobState | StepJobState
   readonly reason?: Reason | string
   readonly verdict?: Verdict
   readonly workers?: readonly string[]
@@ -36,6 +38,12 @@
   readonly borrowing?: boolean
   /** What an accepted job asks for. */
   readonly shape?: Pick<Shape, 'workers' | 'accelerators' | 'within'>
+  /** Name of the queue of a job of steps. */
+  readonly queue?: string
+  readonly step?: number
+  readonly task?: number
+  /** Accelerators that a run of a step takes in all. */
+  readonly accelerators?: number
   readonly team?: string
   /** Identifier of the writer's request. */
   readonly request?: string
--- a/src/core/snapshot.ts
+++ b/src/core/snapshot.ts
@@ -6,6 +6,7 @@
 import type { Home } from './homes'
 import type { Job } from './job'
 import type { AccountUsage, RetryWindow, State, StoredPut, WorkerUsage } from './state'
+import { restoredSteps, storedSteps, type StoredStepState } from './steps/snapshot'
 import type { Transaction } from './transaction'
 import type { Worker } from './worker'
 
@@ -34,6 +35,7 @@
   readonly reserved: readonly string[]
   readonly estimates: ReadonlyArray<readonly [string, Estimate]>
   readonly retries: ReadonlyArray<readonly [string, RetryWindow]>
+  readonly steps?: StoredStepState
   readonly record: State['record']
 }
 
@@ -60,6 +62,7 @@
     reserved: state.reserved.toArray().sort(),
     estimates: sortedEntries(state.estimates),
     retries: sortedEntries(state.retries),
+    steps: storedSteps(state.steps),
     record: state.record
   }
   return stored
@@ -133,6 +136,7 @@
     reserved: ImmutableSet(stored.reserved),
     estimates: ImmutableMap(stored.estimates as Array<[string, Estimate]>),
     retries: ImmutableMap(stored.retries as Array<[string, RetryWindow]>),
+    steps: restoredSteps(stored.steps),
     record: stored.record
   }
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -3,6 +3,7 @@
 import type { Estimate } from './estimates'
 import type { Home } from './homes'
 import type { Job } from './job'
+import { initialStepState, type StepState } from './steps/model'
 import type { Worker } from './worker'
 
 /** The first answer to a configuration request, kept so that a resend gets it again. */
@@ -93,6 +94,8 @@
   readonly estimates: ImmutableMap<string, Estimate>
   /** Retries of each account, and of all under the empty name. */
   readonly retries: ImmutableMap<string, RetryWindow>
+  /** Jobs of steps, their queues and the workers that run them. */
+  readonly steps: StepState
   readonly record: RecordHead
 }
 
@@ -114,5 +117,6 @@
   reserved: ImmutableSet(),
   estimates: ImmutableMap(),
   retries: ImmutableMap(),
+  steps: initialStepState,
   record: { sequence: 0, digest: '0'.repeat(64) }
 }
--- /dev/null
+++ b/src/core/steps/document.ts
@@ -0,0 +1,113 @@
+/** The document under one number: queues, the services behind them, and what each account is guaranteed. */
+import { Type, type Static } from '@sinclair/typebox'
+import { err, ok, type Result } from 'neverthrow'
+import { checkAgainst, showValue } from '../problems'
+import type { Problem } from '../verdict'
+
+const strict = { additionalProperties: false }
+const name = Type.String({ minLength: 1, maxLength: 256 })
+const digest = Type.String({ pattern: '^[0-9a-f]{64}$', description: 'SHA-256 of a key, in hexadecimal' })
+
+/** Where jobs wait: its address, its service and its order. */
+export const queueSchema = Type.Object({
+  name,
+  host: Type.String({ maxLength: 256, description: 'name under which callers reach the queue' }),
+  prefix: Type.String({ minLength: 1, maxLength: 1_024, description: 'begin of the paths that belong to the queue' }),
+  service: name,
+  priority: Type.Integer({ minimum: 0, maximum: 1_000, description: '0 comes first' }),
+  mostAttempts: Type.Integer({ minimum: 1, maximum: 1_000, description: 'failed runs of a gang after which its job has failed' }),
+  slackFactor: Type.Number({ minimum: 0, description: 'how many times its longest chain of work a job may take' }),
+  targetLatencyMilliseconds: Type.Number({ minimum: 0 }),
+  timeoutMilliseconds: Type.Number({ exclusiveMinimum: 0, description: 'longest time of one request' }),
+  public: Type.Boolean({ description: 'calls need no key' })
+}, strict)
+/** See {@link queueSchema}. */
+export type Queue = Static<typeof queueSchema>
+
+/** A pool of workers. */
+export const serviceSchema = Type.Object({
+  name,
+  guardsCapacity: Type.Boolean({ description: 'its workers refuse by themselves what does not fit' }),
+  standby: Type.Boolean({ description: 'its hosts are off' })
+}, strict)
+/** See {@link serviceSchema}. */
+export type Service = Static<typeof serviceSchema>
+
+/** An account of callers. */
+export const queueAccountSchema = Type.Object({
+  name,
+  keys: Type.Array(digest),
+  guaranteedAccelerators: Type.Integer({ minimum: 0, description: 'accelerators that its jobs of priority 0 can always have' })
+}, strict)
+/** See {@link queueAccountSchema}. */
+export type QueueAccount = Static<typeof queueAccountSchema>
+
+/** The whole document. */
+export const queueDocumentSchema = Type.Object({
+  queues: Type.Array(queueSchema),
+  services: Type.Array(serviceSchema),
+  accounts: Type.Array(queueAccountSchema)
+}, strict)
+/** See {@link queueDocumentSchema}. */
+export type QueueDocument = Static<typeof queueDocumentSchema>
+
+/** A document with its number, and the text in which its writer sent it. */
+export interface NumberedDocument {
+  readonly number: number
+  readonly document: QueueDocument
+  /** Read back to the operator unchanged. */
+  readonly source: string
+}
+
+/**
+ * Checks a document as a whole.
+ * @param value - the parsed document
+ * @returns the document, or all problems at once
+ */
+export function checkQueueDocument (value: unknown): Result<QueueDocument, Problem[]> {
+  return checkAgainst(queueDocumentSchema, value).andThen((document) => {
+    const problems = crossChecks.flatMap((check) => check(document))
+    return problems.length > 0 ? err(problems) : ok(document)
+  })
+}
+
+type CrossCheck = (document: QueueDocument) => Problem[]
+
+const crossChecks: readonly CrossCheck[] = [knownServices, distinctPlaces, distinctNames, keysOfOneAccount]
+
+function knownServices ({ queues, services }: QueueDocument): Problem[] {
+  const known = new Set(services.map((service) => service.name))
+  return queues.flatMap((queue, position) => known.has(queue.service)
+    ? []
+    : [{ path: `/queues/${position}/service`, value: showValue(queue.service), expected: 'the name of a service of this document' }])
+}
+
+function distinctPlaces ({ queues }: QueueDocument): Problem[] {
+  return repeated(queues.map(({ host, prefix }) => `${host} ${prefix}`))
+    .map((position) => ({ path: `/queues/${position}/prefix`, value: showValue(queues[position]?.prefix), expected: 'a prefix that no other queue of this host has' }))
+}
+
+function distinctNames ({ queues, services, accounts }: QueueDocument): Problem[] {
+  return Object.entries({ queues, services, accounts }).flatMap(([list, entries]) => repeated(entries.map((entry) => entry.name))
+    .map((position) => ({ path: `/${list}/${position}/name`, value: showValue(entries[position]?.name), expected: 'a name that no other entry has' })))
+}
+
+function keysOfOneAccount ({ accounts }: QueueDocument): Problem[] {
+  const owners = new Map<string, string>()
+  return accounts.flatMap((account, position) => account.keys.flatMap((key, place) => {
+    const owner = owners.get(key)
+    owners.set(key, account.name)
+    if (owner === undefined || owner === account.name) return []
+    return [{ path: `/accounts/${position}/keys/${place}`, value: '"(a key)"', expected: `a key that account ${owner} does not have` }]
+  }))
+}
+
+/** Positions of entries that stand earlier in the list as well. */
+function repeated (keys: readonly string[]): number[] {
+  const seen = new Set<string>()
+  return keys.flatMap((key, position) => {
+    const again = seen.has(key)
+    seen.add(key)
+    return again ? [position] : []
+  })
+}
--- /dev/null
+++ b/src/core/steps/index.ts
@@ -0,0 +1,13 @@
+export * from './model'
+export * from './run'
+export * from './transactions'
+export {
+  checkQueueDocument, queueDocumentSchema,
+  type NumberedDocument, type Queue, type QueueAccount, type QueueDocument, type Service
+} from './document'
+export { checkStepJob, stepJobSchema } from './specification'
+export { resolveRoute, type QueueAddress, type Route } from './routing'
+export { queueOfJob } from './jobs'
+export { pendingJobs } from './pending'
+export { scheduleSteps, type FleetView, type RunProgress } from './schedule'
+export { Trust } from './trust'
--- /dev/null
+++ b/src/core/steps/order.ts
@@ -0,0 +1,115 @@
+/** Which gangs wait, and in which order they are looked at. */
+import type { Queue } from './document'
+import { queueOfJob } from './jobs'
+import { stepJobEnded, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
+import { stepsDone } from './runs'
+import type { GangKey } from './transactions'
+
+/** A job is worth something until so many times its objective have passed. */
+const WORTH_UNTIL_OBJECTIVES = 3
+
+/** A gang that could start if there were room. */
+export interface WaitingGang {
+  readonly key: GangKey
+  readonly job: StepJob
+  readonly queue: Queue
+  readonly step: StepSpecification
+  readonly gang: Gang
+  /** The accelerators are its account's own by guarantee. */
+  readonly guaranteed: boolean
+  /** Too late to be worth anything, even if it started now. */
+  readonly hopeless: boolean
+}
+
+/**
+ * Lists the waiting gangs, first come first served within their class.
+ * @param state - the jobs of steps
+ * @param guaranteed - see {@link guaranteedJobs}
+ * @param now - milliseconds since the epoch
+ * @returns by priority; guaranteed ones first, hopeless ones last; then by age
+ */
+export function waitingGangs (state: StepState, guaranteed: ReadonlySet<string>, now: number): WaitingGang[] {
+  const waiting: WaitingGang[] = []
+  for (const identifier of state.open) {
+    const job = state.jobs.get(identifier)
+    if (job === undefined || stepJobEnded(job)) continue
+    waiting.push(...waitingOf(state, job, guaranteed.has(identifier), now))
+  }
+  return waiting.sort(compare)
+}
+
+function waitingOf (state: StepState, job: StepJob, guaranteed: boolean, now: number): WaitingGang[] {
+  const queue = queueOfJob(state, job)
+  const hopeless = now + remainingMilliseconds(job) > job.acceptedAt + WORTH_UNTIL_OBJECTIVES * objectiveMilliseconds(job, queue)
+  return job.specification.steps.flatMap((step, number) => {
+    if (!stepsDone(job, step.after)) return []
+    const gangs = job.gangs[number] ?? []
+    return gangs.flatMap((gang, position): WaitingGang[] => {
+      if (gang.done || gang.run !== undefined) return []
+      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, gang, guaranteed, hopeless }]
+    })
+  })
+}
+
+function compare (one: WaitingGang, other: WaitingGang): number {
+  return one.queue.priority - other.queue.priority ||
+    Number(other.guaranteed) - Number(one.guaranteed) ||
+    Number(one.hopeless) - Number(other.hopeless) ||
+    one.job.acceptedAt - other.job.acceptedAt ||
+    (one.job.identifier < other.job.identifier ? -1 : Number(one.job.identifier > other.job.identifier)) ||
+    one.key.step - other.key.step || one.key.gang - other.key.gang
+}
+
+/**
+ * The time in which a job should be completed.
+ * @param job - the job
+ * @param queue - its queue
+ * @returns milliseconds from acceptance: the longest chain with the queue's slack, and its target latency
+ */
+export function objectiveMilliseconds (job: StepJob, queue: Queue): number {
+  return queue.slackFactor * longestChain(job, () => true) + queue.targetLatencyMilliseconds
+}
+
+/** The longest chain of steps that are not done yet. */
+function remainingMilliseconds (job: StepJob): number {
+  return longestChain(job, (step) => !stepsDone(job, [step]))
+}
+
+function longestChain (job: StepJob, counts: (step: number) => boolean): number {
+  const ends: number[] = []
+  for (const [number, { after, estimateMilliseconds }] of job.specification.steps.entries()) {
+    const begin = Math.max(0, ...after.map((earlier) => ends[earlier] ?? 0))
+    ends.push(begin + (counts(number) ? estimateMilliseconds : 0))
+  }
+  return Math.max(0, ...ends)
+}
+
+/**
+ * The jobs of priority 0 that their account's guarantee covers, the oldest first.
+ * @param state - the jobs of steps
+ * @returns identifiers of waiting and running jobs
+ */
+export function guaranteedJobs (state: StepState): ReadonlySet<string> {
+  const accounts = state.document?.document.accounts ?? []
+  const left = new Map(accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
+  const covered = new Set<string>()
+  for (const job of urgentJobs(state)) {
+    const after = (left.get(job.account) ?? 0) - firstStepAccelerators(job)
+    if (after < 0) continue
+    left.set(job.account, after)
+    covered.add(job.identifier)
+  }
+  return covered
+}
+
+function urgentJobs (state: StepState): StepJob[] {
+  return state.open.toArray()
+    .map((identifier) => state.jobs.get(identifier))
+    .filter((job): job is StepJob => job !== undefined && !stepJobEnded(job) && queueOfJob(state, job).priority === 0)
+    .sort((one, other) => one.acceptedAt - other.acceptedAt || (one.identifier < other.identifier ? -1 : 1))
+}
+
+function firstStepAccelerators ({ specification: { steps } }: StepJob): number {
+  const roots = steps.filter(({ after }) => after.length === 0)
+  return roots.reduce((sum, { accelerators, tasks }) => sum + accelerators * tasks, 0)
+}
--- /dev/null
+++ b/src/core/steps/pending.ts
@@ -0,0 +1,16 @@
+import { stepJobEnded, type StepState } from './model'
+
+/**
+ * Counts the accepted jobs of a queue of which no task has started.
+ * @param state - the jobs of steps
+ * @param queue - name of the queue
+ * @returns the number of jobs
+ */
+export function pendingJobs (state: StepState, queue: string): number {
+  let pending = 0
+  for (const identifier of state.open) {
+    const job = state.jobs.get(identifier)
+    if (job !== undefined && !job.started && !stepJobEnded(job) && job.queue.name === queue) pending += 1
+  }
+  return pending
+}
--- /dev/null
+++ b/src/core/steps/routing.ts
@@ -0,0 +1,56 @@
+/** Finds the queue and the account that a caller's request belongs to. */
+import { err, ok, type Result } from 'neverthrow'
+import { notRun, RefusalCode, type Refusal } from '../verdict'
+import type { Queue, QueueDocument } from './document'
+import type { StepState } from './model'
+
+/** How a caller addresses a queue. */
+export interface QueueAddress {
+  readonly host: string
+  readonly path: string
+  /** SHA-256 of the caller's key in hexadecimal, empty without a key. */
+  readonly keyDigest: string
+}
+
+/** What an address stands for under the document in force. */
+export interface Route {
+  readonly queue: Queue
+  /** Name of the caller's account; empty on a public queue without a known key. */
+  readonly account: string
+  /** What follows the prefix of the queue. */
+  readonly rest: string
+}
+
+/** Milliseconds after which a caller may ask again while no document is in force. */
+const NO_DOCUMENT_RETRY_MILLISECONDS = 1_000
+
+/**
+ * Resolves an address.
+ * @param state - the jobs of steps, with the document in force
+ * @param address - host, path and key of the request
+ * @returns queue and account; or the refusal, which says that nothing was run
+ */
+export function resolveRoute (state: StepState, address: QueueAddress): Result<Route, Refusal> {
+  if (state.document === undefined) return err(notRun(RefusalCode.Unavailable, 'no document is in force yet', NO_DOCUMENT_RETRY_MILLISECONDS))
+  const { document } = state.document
+  const queue = queueOf(document, address)
+  if (queue === undefined) return err(notRun(RefusalCode.UnknownQueue, 'no queue has this address'))
+  const account = accountOf(document, address.keyDigest)
+  if (account === undefined && !queue.public) return err(notRun(RefusalCode.Unauthorized, 'the key belongs to no account'))
+  return ok({ queue, account: account ?? '', rest: address.path.slice(queue.prefix.length) })
+}
+
+/** The longest prefix wins. */
+function queueOf ({ queues }: QueueDocument, { host, path }: QueueAddress): Queue | undefined {
+  let best: Queue | undefined
+  for (const queue of queues) {
+    if (queue.host !== host || !path.startsWith(queue.prefix)) continue
+    if (best === undefined || queue.prefix.length > best.prefix.length) best = queue
+  }
+  return best
+}
+
+function accountOf ({ accounts }: QueueDocument, keyDigest: string): string | undefined {
+  if (keyDigest === '') return undefined
+  return accounts.find(({ keys }) => keys.includes(keyDigest))?.name
+}
--- /dev/null
+++ b/src/core/steps/schedule.ts
@@ -0,0 +1,143 @@
+/** One round of decisions on jobs of steps: what to stop, then what to start, in the order of the queue. */
+import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
+import { StopReason, type Life, type StepState } from './model'
+import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
+import { placeTasks, Rooms } from './rooms'
+import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
+import { giveStopping, planRoom, victimsFor, type RoomPlan } from './victims'
+import { watchRuns, type RunProgress } from './watch'
+
+export type { RunProgress }
+
+/** What the leader knows of the workers beside the log. */
+export interface FleetView extends Choice {
+  /** Milliseconds since the epoch. */
+  readonly now: number
+  /** How far runs are, by name. */
+  readonly progress: ReadonlyMap<string, RunProgress>
+  /** False until agents had the time to report to this leader: nothing is judged by its absence. */
+  readonly complete: boolean
+}
+
+/** Waiting time after which an urgent gang takes workers of several racks, in milliseconds; leaves most of the time to reclaim. */
+const URGENT_RACK_MILLISECONDS = 900
+
+/**
+ * Decides on jobs of steps.
+ * @param state - the jobs of steps, with all proposed entries applied
+ * @param view - what is known beside the log
+ * @returns the transactions to propose, in order
+ */
+export function scheduleSteps (state: StepState, view: FleetView): StepTransaction[] {
+  if (state.open.size === 0) return []
+  const stops = view.complete ? watchRuns(state, view.progress, view.now) : []
+  if (stops.length > 0) return stops
+  return Round.create(state, view).run()
+}
+
+/** A round under way: room that earlier gangs took is gone for later ones. */
+class Round {
+  private readonly rooms: Rooms
+  /** Free room with everything that is being stopped, less what is claimed. */
+  private readonly coming: Rooms
+  private readonly decisions: StepTransaction[] = []
+  private readonly stopped = new Set<string>()
+  private readonly guaranteed: ReadonlySet<string>
+
+  private constructor (private readonly state: StepState, private readonly view: FleetView) {
+    this.rooms = Rooms.of(state.lives.values())
+    this.coming = this.rooms.copy()
+    giveStopping(state, this.coming)
+    this.guaranteed = guaranteedJobs(state)
+  }
+
+  static create (state: StepState, view: FleetView): Round {
+    return new Round(state, view)
+  }
+
+  run (): StepTransaction[] {
+    const waiting = waitingGangs(this.state, this.guaranteed, this.view.now)
+    const refused = new Set<string>()
+    for (const gang of waiting) {
+      const sort = sortOf(gang)
+      if (refused.has(sort)) continue
+      if (!this.start(gang) && !this.makeRoom(gang)) refused.add(sort)
+    }
+    return this.decisions
+  }
+
+  private start (waiting: WaitingGang): boolean {
+    const workers = eligibleWorkers(this.state, waiting, this.view)
+    const placements = this.place(waiting, workers)
+    if (placements === undefined) return false
+    const { key, gang, step } = waiting
+    const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
+    this.decisions.push(decision)
+    for (const { incarnation } of placements) this.coming.take(incarnation, step)
+    return true
+  }
+
+  private place (waiting: WaitingGang, workers: readonly Life[]): TaskPlacement[] | undefined {
+    const { step } = waiting
+    const tasks = tasksOf(waiting)
+    for (const group of this.groups(waiting, workers)) {
+      const placements = placeTasks(step, tasks, group, this.rooms)
+      if (placements !== undefined) return placements
+    }
+    return undefined
+  }
+
+  /** Racks first; all workers only where no rack could ever hold the gang, or where it has waited too long for one. */
+  private groups (waiting: WaitingGang, workers: readonly Life[]): Life[][] {
+    const { step, job, queue } = waiting
+    const groups = rackGroups(step, workers)
+    if (groups.length <= 1 && step.dataRack === '') return groups
+    const waited = this.view.now - job.acceptedAt
+    const patience = queue.priority === 0 ? URGENT_RACK_MILLISECONDS : step.estimateMilliseconds
+    const hopeless = needsOneRack(step) && !groups.some((group) => placeTasks(step, tasksOf(waiting), group, emptyRooms(group)) !== undefined)
+    return hopeless || waited > patience ? [...groups, [...workers]] : groups
+  }
+
+  /** Stops what may be stopped for an urgent gang, and keeps its room from all that come later in the order. */
+  private makeRoom (waiting: WaitingGang): boolean {
+    if (waiting.queue.priority !== 0) return false
+    const workers = eligibleWorkers(this.state, waiting, this.view)
+    const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
+    const plans = this.groups(waiting, workers)
+      .map((group) => planRoom(waiting, group, victims, this.coming))
+      .filter((plan): plan is RoomPlan => plan !== undefined)
+    const best = plans.sort((one, other) => one.cost - other.cost)[0]
+    if (best === undefined) return false
+    this.claim(waiting, best)
+    return true
+  }
+
+  private claim (waiting: WaitingGang, plan: RoomPlan): void {
+    for (const { job, step, gang, attempt, members, needs } of plan.victims) {
+      const name = `${job}.${step}.${gang}`
+      if (this.stopped.has(name)) continue
+      this.stopped.add(name)
+      const reason = waiting.guaranteed ? StopReason.Reclaimed : StopReason.Preempted
+      const stop: StopGang = { kind: StepTransactionKind.StopGang, at: this.view.now, job, step, gang, attempt, reason }
+      this.decisions.push(stop)
+      for (const { incarnation } of members) this.coming.give(incarnation, needs)
+    }
+    for (const { incarnation } of plan.placements) {
+      this.rooms.take(incarnation, waiting.step)
+      this.coming.take(incarnation, waiting.step)
+    }
+  }
+}
+
+function tasksOf ({ gang }: WaitingGang): number[] {
+  return Array.from({ length: gang.size }, (_, position) => gang.first + position)
+}
+
+/** Gangs of one sort find room in the same places, so one that found none speaks for the rest. */
+function sortOf ({ key, gang, queue }: WaitingGang): string {
+  return `${queue.name} ${key.job} ${key.step} ${gang.size}`
+}
+
+function emptyRooms (workers: readonly Life[]): Rooms {
+  return Rooms.of(workers.map((life) => ({ ...life, used: { processors: 0, memoryMegabytes: 0, accelerators: 0 } })))
+}
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -2,6 +2,7 @@
 import type { JobSpecification } from './document'
 import type { Home } from './homes'
 import type { Verdict } from './verdict'
+import type { StepTransaction } from './steps/transactions'
 import type { WorkerDescription } from './worker'
 
 /** The kinds of entries in the log. */
@@ -42,7 +43,8 @@
   readonly number: number
 }
 
-interface Common {
+/** What every entry carries. */
+export interface Common {
   /** Milliseconds since the epoch at the leader that proposed the entry. */
   readonly at: number
 }
@@ -195,3 +197,4 @@
   | PutConfiguration | AnnounceWorker | LoseWorker | LeaveWorker
   | AcceptJob | ReserveJob | ReleaseJob | StartJob | StopJob | EndAttempt | FinishJob
   | CancelJobs | EndJobs | Refuse | Expire | SetHomes | ReturnWorker
+  | StepTransaction
--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -17,6 +17,8 @@
   /** The token is known, but it does not give this right. */
   Forbidden = 'forbidden',
   NotFound = 'not-found',
+  /** No queue has the address that was asked. */
+  UnknownQueue = 'unknown-queue',
   Conflict = 'conflict',
   TooLarge = 'too-large',
   UnknownAccount = 'unknown-account',
--- a/src/entry/configuration-follower.ts
+++ b/src/entry/configuration-follower.ts
@@ -2,9 +2,8 @@
 import { RefusalCode } from '../core/verdict'
 import type { Logger } from '../logging'
 import { ControlService, type ConfigurationUpdate, type EntryMessage } from '../wire/index'
-import type { Channels } from './channels'
+import { type Channels, jittered, sleep, type KnownHosts, type Leader } from '../client/index'
 import { UpdateOutcome, type ConfigurationCopy } from '../core/configuration-copy'
-import { jittered, sleep, type Leader } from './leader'
 
 const STREAM_MILLISECONDS = 600_000
 /** Longest silence before the first update. */
@@ -16,6 +15,7 @@
 /** What a {@link ConfigurationFollower} works with. */
 export interface FollowerParts {
   readonly entry: string
+  readonly hosts: KnownHosts
   readonly leader: Leader
   readonly channels: Channels
   readonly copy: ConfigurationCopy
@@ -85,6 +85,7 @@
       return
     }
     leader.confirm(address)
+    this.parts.hosts.learn(update.controlHosts)
     this.expectWithin(update.validMilliseconds)
     if (copy.number !== before) logger.info('configuration-in-force', { number: copy.number })
     this.stream?.write(this.inForce())
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -6,12 +6,11 @@
 import { parseAddress, type EntrySettings, type TlsFiles } from '../settings/index'
 import { Access } from './access'
 import { addAdmission } from './admission'
-import { Channels } from './channels'
+import { Channels, KnownHosts, Leader, QueueClient } from '../client/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
 import { ConfigurationFollower } from './configuration-follower'
 import { EntryModule } from './entry-module'
 import { FairGate } from './fair-gate'
-import { Leader } from './leader'
 import { EntryMetrics } from './metrics'
 import { OpenRequests } from './open-requests'
 import { RefusalFilter } from './refusal-filter'
@@ -40,14 +39,20 @@
   private readonly channels: Channels
   private readonly copy = ConfigurationCopy.create()
   private readonly open = OpenRequests.create()
+  /** Where control hosts are; settings that are read again change it. */
+  readonly hosts: KnownHosts
+  /** Carries requests to queues to the leader. */
+  readonly queues: QueueClient
   private readonly leader: Leader
   private readonly follower: ConfigurationFollower
 
   private constructor (private readonly options: EntryOptions) {
     this.channels = Channels.create(options.tls)
-    this.leader = Leader.create(options.controlHosts, this.channels, options.logger)
+    this.hosts = KnownHosts.create(options.controlHosts)
+    this.leader = Leader.create(this.hosts, this.channels, options.logger)
+    this.queues = QueueClient.create(this.leader)
     this.follower = ConfigurationFollower.create({
-      entry: options.host, leader: this.leader, channels: this.channels, copy: this.copy, logger: options.logger
+      entry: options.host, hosts: this.hosts, leader: this.leader, channels: this.channels, copy: this.copy, logger: options.logger
     })
   }
 
@@ -70,6 +75,9 @@
     this.options.logger.info('entry-listening', { address: this.address })
   }
 
+  /** Whether a leader has confirmed the copy of the document lately. */
+  get ready (): boolean { return this.copy.isConfirmed(Date.now()) }
+
   /** The address it listens on, with the port that was chosen where the settings say 0. */
   get address (): string {
     const bound = this.application?.getHttpServer().address()
--- a/src/entry/job-follower.ts
+++ b/src/entry/job-follower.ts
@@ -3,8 +3,7 @@
 import { notRun, RefusalCode, Verdict, type Refusal } from '../core/verdict'
 import { ControlService, type JobQuery, type JobReport, type JobRequest } from '../wire/index'
 import { isEnded, isWhole } from './job-view'
-import { BrokenCall, jittered, sleep, type Leader } from './leader'
-import { mayHaveRun, readRefusal } from './refusal-answer'
+import { BrokenCall, jittered, sleep, type Leader, mayHaveRun, readRefusal } from '../client/index'
 
 /** How long a submission is sent again before its caller is told that nothing is known. */
 const ACCEPT_MILLISECONDS = 10_000
--- a/src/entry/job-service.ts
+++ b/src/entry/job-service.ts
@@ -5,9 +5,9 @@
 import { FairGate } from './fair-gate'
 import { JobFollower } from './job-follower'
 import { viewOf, type JobView } from './job-view'
-import { CallKind, Leader } from './leader'
+import { CallKind, Leader, readRefusal } from '../client/index'
 import { EntryMetrics } from './metrics'
-import { readRefusal, RefusalError } from './refusal-answer'
+import { RefusalError } from './refusal-answer'
 
 /** Most jobs in one list. */
 const LISTED_JOBS = 10_000
--- a/src/entry/job-view.ts
+++ b/src/entry/job-view.ts
@@ -2,7 +2,7 @@
 import { JobState } from '../core/job'
 import type { Verdict } from '../core/verdict'
 import type { JobReport } from '../wire/index'
-import { readVerdict } from './refusal-answer'
+import { readVerdict } from '../client/index'
 
 const endStates = new Set<string>([JobState.Finished, JobState.Failed, JobState.Cancelled])
 
--- a/src/entry/operation-controller.ts
+++ b/src/entry/operation-controller.ts
@@ -7,10 +7,10 @@
 import { checkAgainst } from '../settings/index'
 import { ControlService, type ChangeMembersRequest, type MemberStatus, type StatusReply } from '../wire/index'
 import { operatorOf } from './admission'
-import { Leader } from './leader'
+import { Leader, readRefusal } from '../client/index'
 import { OpenRequests } from './open-requests'
 import { OperatorService, type ConfigurationView } from './operator-service'
-import { readRefusal, RefusalError } from './refusal-answer'
+import { RefusalError } from './refusal-answer'
 
 const membersSchema = Type.Object({
   operation: Type.Union([Type.Literal('add'), Type.Literal('remove')]),
--- a/src/entry/operator-service.ts
+++ b/src/entry/operator-service.ts
@@ -6,8 +6,8 @@
 import {
   ControlService, type ChangeMembersReply, type ChangeMembersRequest, type ConfigurationReply, type PutConfigurationRequest, type StatusReply
 } from '../wire/index'
-import { CallKind, Leader } from './leader'
-import { readRefusal, RefusalError } from './refusal-answer'
+import { CallKind, Leader, readRefusal } from '../client/index'
+import { RefusalError } from './refusal-answer'
 
 /** How often a drain is tried again when another writer was faster. */
 const DRAIN_TRIES = 5
--- a/src/entry/refusal-answer.ts
+++ b/src/entry/refusal-answer.ts
@@ -1,6 +1,7 @@
 import type { FastifyReply } from 'fastify'
-import { RefusalCode, Verdict, notRun, type Problem, type Refusal } from '../core/verdict'
-import { Verdict as WireVerdict, type JobReport, type Refusal as WireRefusal } from '../wire/index'
+import { mayHaveRun, readVerdict } from '../client/index'
+import { RefusalCode, notRun, type Problem, type Refusal, type Verdict } from '../core/verdict'
+import type { JobReport } from '../wire/index'
 
 const MILLISECONDS_PER_SECOND = 1_000
 
@@ -10,6 +11,7 @@
   [RefusalCode.Unauthorized]: 401,
   [RefusalCode.Forbidden]: 403,
   [RefusalCode.NotFound]: 404,
+  [RefusalCode.UnknownQueue]: 404,
   [RefusalCode.Conflict]: 409,
   [RefusalCode.TooLarge]: 413,
   [RefusalCode.UnknownAccount]: 404,
@@ -63,44 +65,6 @@
   }
 }
 
-const verdictOfWire: Readonly<Record<number, Verdict>> = {
-  [WireVerdict.NOT_RUN]: Verdict.NotRun,
-  [WireVerdict.MAY_HAVE_RUN]: Verdict.MayHaveRun,
-  [WireVerdict.RAN]: Verdict.Ran
-}
-
-/**
- * Reads a verdict of the wire. An unknown one says the least: may have run.
- * @param verdict - the number on the wire
- * @returns the verdict
- */
-export function readVerdict (verdict: WireVerdict): Verdict {
-  return verdictOfWire[verdict] ?? Verdict.MayHaveRun
-}
-
-const codes = new Set<string>(Object.values(RefusalCode))
-
-/**
- * Reads a refusal of the wire.
- * @param refusal - the message
- * @returns the refusal of the core
- */
-export function readRefusal (refusal: WireRefusal): Refusal {
-  const code = codes.has(refusal.code) ? refusal.code as RefusalCode : RefusalCode.Unavailable
-  const { message, retryCanHelp, problems } = refusal
-  return { code, message, verdict: readVerdict(refusal.verdict), retryCanHelp, retryAfter: refusal.retryAfterMilliseconds, problems }
-}
-
-/**
- * Makes the refusal of a request whose effect is not known.
- * @param message - one sentence for a person
- * @param retryAfter - milliseconds after which trying again with the same identifier can help
- * @returns the refusal
- */
-export function mayHaveRun (message: string, retryAfter: number): Refusal {
-  return { code: RefusalCode.Unavailable, message, verdict: Verdict.MayHaveRun, retryCanHelp: true, retryAfter }
-}
-
 function setRetryAfter (reply: FastifyReply, retryAfter: number): void {
   if (retryAfter > 0) reply.header('retry-after', Math.ceil(retryAfter / MILLISECONDS_PER_SECOND))
 }
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,7 +1,8 @@
 export {
   LogLevel, Role, settingsSchema,
-  type AgentSettings, type ControlSettings, type EntrySettings, type Settings, type TlsSettings
+  type AgentSettings, type ControlSettings, type DeploymentSettings, type EntrySettings, type Settings, type TlsSettings
 } from './schema'
+export { controlHostsOf, recordBytesOf } from './deployment'
 export { parseAddress, type Address } from './address'
 export { checkSettings, loadSettings } from './load'
 export { problemLines } from './problem-lines'
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -4,6 +4,7 @@
 import type { Problem } from '../core/verdict'
 import { checkAgainst, showValue } from '../core/problems'
 import { parseAddress } from './address'
+import { withDeployment } from './deployment'
 import { Role, settingsSchema, type Settings } from './schema'
 
 const HIGHEST_PORT = 65_535
@@ -33,9 +34,9 @@
     .map(([path, address]) => ({ path, value: showValue(address), expected: `an IP number and a port up to ${HIGHEST_PORT}` }))
 }
 
-function roleProblems (settings: Pick<Settings, 'roles'> & { readonly [section in Role]?: unknown }): Problem[] {
+function roleProblems (settings: Pick<Settings, 'roles' | 'deployment'> & { readonly [section in Role]?: unknown }): Problem[] {
   return Object.values(Role)
-    .filter((role) => settings.roles.includes(role) && settings[role] === undefined)
+    .filter((role) => settings.roles.includes(role) && settings[role] === undefined && !(role !== Role.Entry && settings.deployment !== undefined))
     .map((role) => ({ path: `/${role}`, value: 'nothing', expected: `a section ${role}, because the roles name it` }))
 }
 
@@ -69,7 +70,7 @@
  */
 export function checkSettings (json: unknown): Result<Settings, Problem[]> {
   const checked = checkAgainst(settingsSchema, json).mapErr((problems) => [...problems, ...missingSections(json)])
-  return checked.andThen((settings) => {
+  return checked.map(withDeployment).andThen((settings) => {
     const problems = crossChecks.flatMap((check) => check(settings))
     return problems.length > 0 ? err(problems) : ok(withControlHosts(settings))
   })
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -75,6 +75,27 @@
 /** See {@link tlsSettingsSchema}. */
 export type TlsSettings = Static<typeof tlsSettingsSchema>
 
+/** Settings of a process that the users' platform runs: it is told less, and finds out more, than the sections above say. */
+export const deploymentSettingsSchema = Type.Object({
+  ip: Type.String({ pattern: '^[0-9.]+$', description: 'own IP number' }),
+  innerPorts: Type.Tuple([Type.Integer({ minimum: 1, maximum: 65_535 }), Type.Integer({ minimum: 1, maximum: 65_535 })], {
+    description: 'first and last port for the system\'s own use, the same on all hosts'
+  }),
+  seeds: Type.Array(address, { description: 'some control hosts, at any of their ports' }),
+  founding: Type.Boolean({ description: 'the whole system starts for the first time' }),
+  folder: Type.Optional(Type.String({ minLength: 1, description: 'the one data folder; absent without a disk' })),
+  folderMegabytes: Type.Integer({ minimum: 0, default: 0, description: 'size of the disk; 0 where it is not known' }),
+  hostsLostAtOnce: Type.Integer({ minimum: 0, maximum: 3, default: 1, description: 'control hosts that may be lost at the same time' }),
+  workerLeaseMilliseconds: Type.Integer({ minimum: 500, maximum: 600_000, default: 6_000, description: 'longest lease that a worker grants to what it runs' }),
+  stopDeadlineSeconds,
+  clients: Type.Optional(address),
+  readiness: Type.Optional(address),
+  operators: Type.Optional(address),
+  workers: Type.Optional(address)
+}, strict)
+/** See {@link deploymentSettingsSchema}. */
+export type DeploymentSettings = Static<typeof deploymentSettingsSchema>
+
 /** The settings of one process. */
 export const settingsSchema = Type.Object({
   host: name,
@@ -86,6 +107,7 @@
   control: Type.Optional(controlSettingsSchema),
   entry: Type.Optional(entrySettingsSchema),
   agent: Type.Optional(agentSettingsSchema),
+  deployment: Type.Optional(deploymentSettingsSchema),
   tls: Type.Optional(tlsSettingsSchema)
 }, { ...strict, $id: 'bramleyflow-settings', title: 'The settings of a bramleyflow process' })
 /** See {@link settingsSchema}. */
--- a/test/agents.test.ts
+++ b/test/agents.test.ts
@@ -11,6 +11,7 @@
     head: () => initialState,
     committed: () => initialState,
     term: () => 1,
+    now: () => Date.now(),
     submit: (transaction) => { proposed.push(transaction); return Promise.resolve() },
     log: () => {}
   })
--- a/test/command-lazy.test.ts
+++ b/test/command-lazy.test.ts
@@ -4,7 +4,9 @@
 /** The modules that a process with one role loads besides the command line: the same dynamic imports as in roles.ts. */
 const loadedBy = {
   agent: ['src/command/roles.ts', 'src/settings/index.ts', 'src/command/credentials.ts', 'src/agent/index.ts'],
-  control: ['src/command/roles.ts', 'src/settings/index.ts', 'src/command/credentials.ts', 'src/control/index.ts']
+  control: ['src/command/roles.ts', 'src/settings/index.ts', 'src/command/credentials.ts', 'src/control/index.ts'],
+  supervisor: ['src/command/deployed-roles.ts', 'src/settings/index.ts', 'src/command/credentials.ts', 'src/agent/supervisor.ts', 'platform/worker.ts'],
+  deployedControl: ['src/command/deployed-roles.ts', 'src/settings/index.ts', 'src/command/credentials.ts', 'src/control/index.ts', 'platform/operator.ts', 'src/client/index.ts']
 }
 
 async function graph (): Promise<Metafile['inputs']> {
@@ -99,8 +101,62 @@
         "tdigest",
         "typanion",
       ],
+      "deployedControl": [
+        "@bufbuild/protobuf",
+        "@grpc/grpc-js",
+        "@grpc/proto-loader",
+        "@js-sdsl/ordered-map",
+        "@opentelemetry/api",
+        "@protobufjs/aspromise",
+        "@protobufjs/base64",
+        "@protobufjs/codegen",
+        "@protobufjs/eventemitter",
+        "@protobufjs/fetch",
+        "@protobufjs/float",
+        "@protobufjs/path",
+        "@protobufjs/pool",
+        "@protobufjs/utf8",
+        "@sinclair/typebox",
+        "bintrees",
+        "clipanion",
+        "immutable",
+        "lodash.camelcase",
+        "loglevel",
+        "long",
+        "neverthrow",
+        "prom-client",
+        "protobufjs",
+        "pure-rand",
+        "tdigest",
+        "typanion",
+      ],
+      "supervisor": [
+        "@bufbuild/protobuf",
+        "@grpc/grpc-js",
+        "@grpc/proto-loader",
+        "@js-sdsl/ordered-map",
+        "@protobufjs/aspromise",
+        "@protobufjs/base64",
+        "@protobufjs/codegen",
+        "@protobufjs/eventemitter",
+        "@protobufjs/fetch",
+        "@protobufjs/float",
+        "@protobufjs/path",
+        "@protobufjs/pool",
+        "@protobufjs/utf8",
+        "@sinclair/typebox",
+        "clipanion",
+        "lodash.camelcase",
+        "loglevel",
+        "long",
+        "neverthrow",
+        "protobufjs",
+        "typanion",
+        "undici",
+      ],
     }
   `)
-  const compilers = closure(inputs, loadedBy.agent).filter((path) => /nestjs|fastify|ajv|typebox.*compiler/.test(path))
+  const lean = [...loadedBy.agent, ...loadedBy.supervisor, ...loadedBy.deployedControl]
+  const compilers = closure(inputs, lean).filter((path) => /nestjs|fastify|ajv|typebox.*compiler/.test(path))
   expect(compilers).toEqual([])
 })
--- a/test/entry-follower.test.ts
+++ b/test/entry-follower.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { Refusal } from '../src/core/verdict'
 import { JobFollower } from '../src/entry/job-follower'
-import { BrokenCall, type Leader } from '../src/entry/leader'
+import { BrokenCall, type Leader } from '../src/client'
 import { JobReport, Verdict, type JobRequest } from '../src/wire/index'
 import { refusalOf } from './fake-entry-control'
 
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -45,7 +45,7 @@
 test('all errors come at once, with path, value and what would be accepted', () => {
   expect(problemsOf({ ...laptop, host: '', colour: 'green', roles: ['chief'], control: { ...laptop.control, voters: 7 } })).toMatchInlineSnapshot(`
     [
-      "/colour: found "green", expected no such field; the fields are host, roles, region, dataCentre, logLevel, controlHosts, control, entry, agent, tls",
+      "/colour: found "green", expected no such field; the fields are host, roles, region, dataCentre, logLevel, controlHosts, control, entry, agent, deployment, tls",
       "/host: found "", expected a string of at least 1 characters of at most 64 characters matching ^[A-Za-z0-9][A-Za-z0-9._-]*$",
       "/roles/0: found "chief", expected one of "entry", "control", "agent"",
       "/control/voters: found 7, expected an array of at least 1 items of at most 7 items",
