Count the tasks of a step that run on a worker already

Ruled out: the adapter (the limit arrives as sent). Change: room and count are one question, asked by placement and by the log.

--- a/src/core/steps/order.ts
+++ b/src/core/steps/order.ts
@@ -2,6 +2,7 @@
 import type { Queue } from './document'
 import { queueOfJob } from './jobs'
 import { stepJobEnded, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
+import { needOf, type TaskNeed } from './rooms'
 import { stepsDone } from './runs'
 import type { GangKey } from './transactions'
 
@@ -14,6 +15,7 @@
   readonly job: StepJob
   readonly queue: Queue
   readonly step: StepSpecification
+  readonly need: TaskNeed
   readonly gang: Gang
   /** The accelerators are its account's own by guarantee. */
   readonly guaranteed: boolean
@@ -44,9 +46,10 @@
   return job.specification.steps.flatMap((step, number) => {
     if (!stepsDone(job, step.after)) return []
     const gangs = job.gangs[number] ?? []
+    const need = needOf(job.identifier, number, step)
     return gangs.flatMap((gang, position): WaitingGang[] => {
       if (gang.done || gang.run !== undefined) return []
-      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, gang, guaranteed, hopeless }]
+      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, need, gang, guaranteed, hopeless }]
     })
   })
 }
--- a/src/core/steps/rooms.ts
+++ b/src/core/steps/rooms.ts
@@ -2,9 +2,29 @@
 import { addResources, type Life, type Resources, type StepSpecification } from './model'
 import type { TaskPlacement } from './transactions'
 
+/** What one task needs of a worker. */
+export interface TaskNeed extends Resources {
+  /** Names the step, unique in the deployment. */
+  readonly step: string
+  /** Most tasks of the step on one worker; 0 for no limit. */
+  readonly mostPerWorker: number
+}
+
+/**
+ * What a task of a step needs.
+ * @param job - identifier of the job
+ * @param number - number of the step
+ * @param step - the step
+ * @returns the need
+ */
+export function needOf (job: string, number: number, step: StepSpecification): TaskNeed {
+  const { processors, memoryMegabytes, accelerators, mostPerWorker } = step
+  return { step: `${job}.${number}`, processors, memoryMegabytes, accelerators, mostPerWorker }
+}
+
 /** Free room by incarnation; changed only through a copy that is kept or thrown away. */
 export class Rooms {
-  private constructor (private readonly free: Map<string, Resources>) {}
+  private constructor (private readonly free: Map<string, Resources>, private readonly tasks: Map<string, number>) {}
 
   /**
    * Measures the free room.
@@ -12,14 +32,17 @@
    * @returns the room of each
    */
   static of (lives: Iterable<Life>): Rooms {
-    const free = new Map<string, Resources>()
-    for (const life of lives) free.set(life.incarnation, addResources(life, life.used, -1))
-    return new Rooms(free)
+    const rooms = new Rooms(new Map(), new Map())
+    for (const life of lives) {
+      rooms.free.set(life.incarnation, addResources(life, life.used, -1))
+      for (const { job, step } of life.runs.values()) rooms.count(life.incarnation, `${job}.${step}`)
+    }
+    return rooms
   }
 
   /** A copy to try something on. */
   copy (): Rooms {
-    return new Rooms(new Map(this.free))
+    return new Rooms(new Map(this.free), new Map(this.tasks))
   }
 
   /** The free room of a worker. */
@@ -27,54 +50,63 @@
     return this.free.get(incarnation) ?? none
   }
 
-  /** Whether one more task fits. */
-  holds (incarnation: string, needed: Resources): boolean {
+  /** Whether one more task may run there. */
+  holds (incarnation: string, need: TaskNeed): boolean {
     const free = this.of(incarnation)
-    return needed.processors <= free.processors && needed.memoryMegabytes <= free.memoryMegabytes && needed.accelerators <= free.accelerators
+    if (need.mostPerWorker > 0 && (this.tasks.get(`${incarnation} ${need.step}`) ?? 0) >= need.mostPerWorker) return false
+    return need.processors <= free.processors && need.memoryMegabytes <= free.memoryMegabytes && need.accelerators <= free.accelerators
   }
 
   /** Takes room for one task; negative room means that it is not free yet. */
-  take (incarnation: string, needed: Resources): void {
-    this.free.set(incarnation, addResources(this.of(incarnation), needed, -1))
+  take (incarnation: string, need: TaskNeed): void {
+    this.free.set(incarnation, addResources(this.of(incarnation), need, -1))
+    this.count(incarnation, need.step)
   }
 
   /** Gives room back. */
   give (incarnation: string, released: Resources): void {
     this.free.set(incarnation, addResources(this.of(incarnation), released))
   }
+
+  /** Takes room that was given back in a trial. */
+  takeBack (incarnation: string, released: Resources): void {
+    this.free.set(incarnation, addResources(this.of(incarnation), released, -1))
+  }
+
+  private count (incarnation: string, step: string): void {
+    const name = `${incarnation} ${step}`
+    this.tasks.set(name, (this.tasks.get(name) ?? 0) + 1)
+  }
 }
 
 const none: Resources = { processors: -1, memoryMegabytes: -1, accelerators: -1 }
 
 /**
  * Places tasks where the least is left over, so that whole workers stay free for wide tasks.
- * @param step - what each task needs
+ * @param need - what each task needs
  * @param tasks - positions of the tasks
  * @param workers - the workers that may be used
  * @param rooms - free room; the placements are taken from it where all tasks found one
  * @returns a worker for each task, or nothing where they do not all fit
  */
-export function placeTasks (step: StepSpecification, tasks: readonly number[], workers: readonly Life[], rooms: Rooms): TaskPlacement[] | undefined {
+export function placeTasks (need: TaskNeed, tasks: readonly number[], workers: readonly Life[], rooms: Rooms): TaskPlacement[] | undefined {
   const trial = rooms.copy()
   const placements: TaskPlacement[] = []
-  const counts = new Map<string, number>()
   for (const task of tasks) {
-    const chosen = tightest(step, workers, trial, counts)
+    const chosen = tightest(need, workers, trial)
     if (chosen === undefined) return undefined
-    trial.take(chosen.incarnation, step)
-    counts.set(chosen.incarnation, (counts.get(chosen.incarnation) ?? 0) + 1)
+    trial.take(chosen.incarnation, need)
     placements.push({ task, incarnation: chosen.incarnation })
   }
-  for (const { incarnation } of placements) rooms.take(incarnation, step)
+  for (const { incarnation } of placements) rooms.take(incarnation, need)
   return placements
 }
 
-function tightest (step: StepSpecification, workers: readonly Life[], rooms: Rooms, counts: ReadonlyMap<string, number>): Life | undefined {
+function tightest (need: TaskNeed, workers: readonly Life[], rooms: Rooms): Life | undefined {
   let best: Life | undefined
   let least = Infinity
   for (const life of workers) {
-    if (step.mostPerWorker > 0 && (counts.get(life.incarnation) ?? 0) >= step.mostPerWorker) continue
-    if (!rooms.holds(life.incarnation, step)) continue
+    if (!rooms.holds(life.incarnation, need)) continue
     const left = leftover(rooms.of(life.incarnation), life)
     if (left < least) { best = life; least = left }
   }
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -4,7 +4,8 @@
 import { EffectKind } from '../effect'
 import { notRun, RefusalCode, type Refusal } from '../verdict'
 import { endStepJob, queueOfJob, setStepJob, stoppedGang } from './jobs'
-import { addResources, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type Life, type Resources, type StepJob, type StepSpecification } from './model'
+import { addResources, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type Life, type StepJob, type StepSpecification } from './model'
+import { needOf, Rooms } from './rooms'
 import { StepTransactionKind, type EndRuns, type GangKey, type TaskPlacement, type StartGang, type StopGang } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
@@ -39,7 +40,7 @@
 function takeRoom (draft: Draft, key: RunKey, { incarnation }: TaskPlacement, step: StepSpecification): Outcome {
   const life = draft.steps.lives.get(incarnation)
   if (life === undefined || life.leaving) return refused('a worker is gone or leaves')
-  if (!fits(life, step)) return refused(`worker ${life.worker} has no room`)
+  if (!Rooms.of([life]).holds(incarnation, needOf(key.job, key.step, step))) return refused(`worker ${life.worker} has no room`)
   setLife(draft, { ...life, runs: life.runs.set(runName(key), key), used: addResources(life.used, step) })
   draft.effect({ kind: EffectKind.LifeChanged, incarnation })
   return ok(undefined)
@@ -136,19 +137,6 @@
   return steps.every((step) => job.gangs[step]?.every(({ done }) => done) === true)
 }
 
-/**
- * Tells whether one more task fits on a worker.
- * @param life - the worker as it stands
- * @param needed - what the task holds
- * @returns true where nothing is exceeded
- */
-export function fits (life: Life, needed: Resources): boolean {
-  const { used } = life
-  return used.processors + needed.processors <= life.processors &&
-    used.memoryMegabytes + needed.memoryMegabytes <= life.memoryMegabytes &&
-    used.accelerators + needed.accelerators <= life.accelerators
-}
-
 /**
  * Puts a worker's incarnation in place of its former self.
  * @param draft - the change under way
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,6 +1,6 @@
 /** One round of decisions on jobs of steps: what to stop, then what to start, in the order of the queue. */
 import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
-import { StopReason, type Life, type StepState } from './model'
+import { noResources, StopReason, type Life, type StepState } from './model'
 import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
 import { placeTasks, Rooms } from './rooms'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
@@ -70,18 +70,17 @@
     const workers = eligibleWorkers(this.state, waiting, this.view)
     const placements = this.place(waiting, workers)
     if (placements === undefined) return false
-    const { key, gang, step } = waiting
+    const { key, gang, need } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
     this.decisions.push(decision)
-    for (const { incarnation } of placements) this.coming.take(incarnation, step)
+    for (const { incarnation } of placements) this.coming.take(incarnation, need)
     return true
   }
 
   private place (waiting: WaitingGang, workers: readonly Life[]): TaskPlacement[] | undefined {
-    const { step } = waiting
     const tasks = tasksOf(waiting)
     for (const group of this.groups(waiting, workers)) {
-      const placements = placeTasks(step, tasks, group, this.rooms)
+      const placements = placeTasks(waiting.need, tasks, group, this.rooms)
       if (placements !== undefined) return placements
     }
     return undefined
@@ -94,7 +93,7 @@
     if (groups.length <= 1 && step.dataRack === '') return groups
     const waited = this.view.now - job.acceptedAt
     const patience = queue.priority === 0 ? URGENT_RACK_MILLISECONDS : step.estimateMilliseconds
-    const hopeless = needsOneRack(step) && !groups.some((group) => placeTasks(step, tasksOf(waiting), group, emptyRooms(group)) !== undefined)
+    const hopeless = needsOneRack(step) && !groups.some((group) => placeTasks(waiting.need, tasksOf(waiting), group, emptyRooms(group)) !== undefined)
     return hopeless || waited > patience ? [...groups, [...workers]] : groups
   }
 
@@ -123,8 +122,8 @@
       for (const { incarnation } of members) this.coming.give(incarnation, needs)
     }
     for (const { incarnation } of plan.placements) {
-      this.rooms.take(incarnation, waiting.step)
-      this.coming.take(incarnation, waiting.step)
+      this.rooms.take(incarnation, waiting.need)
+      this.coming.take(incarnation, waiting.need)
     }
   }
 }
@@ -139,5 +138,5 @@
 }
 
 function emptyRooms (workers: readonly Life[]): Rooms {
-  return Rooms.of(workers.map((life) => ({ ...life, used: { processors: 0, memoryMegabytes: 0, accelerators: 0 } })))
+  return Rooms.of(workers.map((life) => ({ ...life, used: noResources, runs: life.runs.clear() })))
 }
--- a/src/core/steps/victims.ts
+++ b/src/core/steps/victims.ts
@@ -2,7 +2,7 @@
 import { queueOfJob } from './jobs'
 import type { GangRun, Life, Resources, StepJob, StepSpecification, StepState } from './model'
 import type { WaitingGang } from './order'
-import type { Rooms } from './rooms'
+import type { Rooms, TaskNeed } from './rooms'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
 
@@ -106,12 +106,10 @@
   const trial = rooms.copy()
   const stopped = new Set<Victim>()
   const placements: TaskPlacement[] = []
-  const counts = new Map<string, number>()
-  const { step, gang } = waiting
+  const { need, gang } = waiting
   for (let task = gang.first; task < gang.first + gang.size; task++) {
     const options = workers
-      .filter(({ incarnation }) => step.mostPerWorker === 0 || (counts.get(incarnation) ?? 0) < step.mostPerWorker)
-      .map(({ incarnation }) => cheapestOn(incarnation, step, victims.get(incarnation) ?? [], stopped, trial))
+      .map(({ incarnation }) => cheapestOn(incarnation, need, victims.get(incarnation) ?? [], stopped, trial))
       .filter((option): option is WorkerOption => option !== undefined)
     const best = options.sort((one, other) => one.cost - other.cost || one.left - other.left)[0]
     if (best === undefined) return undefined
@@ -119,8 +117,7 @@
       stopped.add(victim)
       for (const { incarnation } of victim.members) trial.give(incarnation, victim.needs)
     }
-    trial.take(best.incarnation, step)
-    counts.set(best.incarnation, (counts.get(best.incarnation) ?? 0) + 1)
+    trial.take(best.incarnation, need)
     placements.push({ task, incarnation: best.incarnation })
   }
   return { placements, victims: [...stopped], cost: [...stopped].reduce((sum, { cost }) => sum + cost, 0) }
@@ -134,26 +131,26 @@
 }
 
 /** The cheapest victims first, until one task fits; then those that turn out not to be needed are let off. */
-function cheapestOn (incarnation: string, step: StepSpecification, candidates: readonly Victim[], stopped: ReadonlySet<Victim>, rooms: Rooms): WorkerOption | undefined {
+function cheapestOn (incarnation: string, need: TaskNeed, candidates: readonly Victim[], stopped: ReadonlySet<Victim>, rooms: Rooms): WorkerOption | undefined {
   const trial = rooms.copy()
   const chosen: Victim[] = []
   const give = (victim: Victim, sign: 1 | -1): void => {
     for (const member of victim.members) {
       if (member.incarnation !== incarnation) continue
       if (sign > 0) trial.give(incarnation, victim.needs)
-      else trial.take(incarnation, victim.needs)
+      else trial.takeBack(incarnation, victim.needs)
     }
   }
   const free = candidates.filter((victim) => !stopped.has(victim)).sort((one, other) => one.cost - other.cost)
   for (const victim of free) {
-    if (trial.holds(incarnation, step)) break
+    if (trial.holds(incarnation, need)) break
     give(victim, 1)
     chosen.push(victim)
   }
-  if (!trial.holds(incarnation, step)) return undefined
+  if (!trial.holds(incarnation, need)) return undefined
   const needed = chosen.filter((victim) => {
     give(victim, -1)
-    if (trial.holds(incarnation, step)) return false
+    if (trial.holds(incarnation, need)) return false
     give(victim, 1)
     return true
   })
--- /dev/null
+++ b/test/step-runs.test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from 'vitest'
+import { decodeState, encodeState, RunOutcome, stateDigest, StepJobState, StepTransactionKind, StopReason, type RunKey } from '../src/core/index'
+import { step, StepWorld, worker } from './steps-fixture'
+
+const key = (task: number, attempt = 1, number = 0, job = 'j'): RunKey => ({ job, step: number, task, attempt })
+
+test('a job of two steps is completed once every gang is done, in order', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step({ tasks: 2 }), step({ after: [0] })])
+  expect(world.start('j', 1, 0, ['a@1'])).toBe('an earlier step is not done')
+  expect(world.start('j', 0, 0, ['a@1'])).toBe('')
+  expect(world.start('j', 0, 1, ['a@1'])).toBe('')
+  world.end('a@1', key(0), RunOutcome.Done)
+  world.end('a@1', key(1), RunOutcome.Done)
+  expect(world.job('j').state).toBe(StepJobState.Running)
+  world.start('j', 1, 0, ['a@1'])
+  world.end('a@1', key(0, 1, 1), RunOutcome.Done)
+  expect(world.job('j').state).toBe(StepJobState.Completed)
+  expect(world.state.steps.open.size).toBe(0)
+  expect(world.state.steps.lives.get('a@1')?.used).toEqual({ processors: 0, memoryMegabytes: 0, accelerators: 0 })
+})
+
+test('the same identifier again is the same job', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step()])
+  world.start('j', 0, 0, ['a@1'])
+  expect(world.submit('j', [step({ tasks: 9 })])).toBe('')
+  expect(world.job('j').gangs[0]).toHaveLength(1)
+  expect(world.job('j').state).toBe(StepJobState.Running)
+})
+
+test('an end that is listed again, or of another attempt or incarnation, changes nothing', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('j', [step()])
+  world.start('j', 0, 0, ['a@1'])
+  world.end('b@1', key(0), RunOutcome.Done)
+  world.end('a@1', key(0, 7), RunOutcome.Done)
+  expect(world.job('j').state).toBe(StepJobState.Running)
+  const ends = [{ number: 9, key: key(0), outcome: RunOutcome.Failed, checkpoint: '' }]
+  world.take({ kind: StepTransactionKind.EndRuns, at: world.now, incarnation: 'a@1', ends })
+  expect(world.job('j').gangs[0]?.[0]?.failures).toBe(1)
+  world.start('j', 0, 0, ['a@1'])
+  world.take({ kind: StepTransactionKind.EndRuns, at: world.now, incarnation: 'a@1', ends })
+  expect(world.job('j').gangs[0]?.[0]).toMatchObject({ failures: 1, run: { attempt: 2 } })
+  expect(world.state.steps.lives.get('a@1')?.acknowledged).toBe(9)
+})
+
+test('a start over the capacity, on a leaving worker, or beyond the most per worker is refused by the log', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('wide', [step({ accelerators: 5 }), step({ accelerators: 5 })])
+  world.start('wide', 0, 0, ['a@1'])
+  expect(world.start('wide', 1, 0, ['a@1'])).toBe('worker a has no room')
+  world.submit('apart', [step({ tasks: 2, mostPerWorker: 1 })])
+  expect(world.start('apart', 0, 0, ['b@1'])).toBe('')
+  expect(world.start('apart', 0, 1, ['b@1'])).toBe('worker b has no room')
+  world.take({ kind: StepTransactionKind.LeaveLife, at: world.now, incarnation: 'b@1' })
+  expect(world.start('wide', 1, 0, ['b@1'])).toBe('a worker is gone or leaves')
+})
+
+test('a gang ends together: one failed member stops the rest and counts once', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('j', [step({ tasks: 3, gang: true })])
+  world.start('j', 0, 0, ['a@1', 'a@1', 'b@1'])
+  world.end('a@1', key(0), RunOutcome.Failed)
+  expect(world.job('j').gangs[0]?.[0]?.run?.stopping).toBe(StopReason.MemberEnded)
+  expect(world.start('j', 0, 0, ['b@1', 'b@1', 'b@1'])).toBe('the gang does not wait')
+  world.end('a@1', key(1), RunOutcome.Broken)
+  world.end('b@1', key(2), RunOutcome.Failed)
+  expect(world.job('j').gangs[0]?.[0]).toMatchObject({ failures: 1, run: undefined })
+  world.start('j', 0, 0, ['b@1', 'b@1', 'b@1'])
+  for (const task of [0, 1, 2]) world.end('b@1', key(task, 2), task === 0 ? RunOutcome.Failed : RunOutcome.Broken)
+  expect(world.job('j').state).toBe(StepJobState.Failed)
+})
+
+test('one done member speaks for its gang, and the others keep their room until they are listed', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('j', [step({ tasks: 2, gang: true })])
+  world.start('j', 0, 0, ['a@1', 'b@1'])
+  world.end('a@1', key(0), RunOutcome.Done)
+  expect(world.job('j').state).toBe(StepJobState.Completed)
+  expect(world.state.steps.lives.get('b@1')?.used.accelerators).toBe(1)
+  world.take({ kind: StepTransactionKind.LoseLife, at: world.now, incarnation: 'b@1', checkpoints: [] })
+  expect(world.job('j').state).toBe(StepJobState.Completed)
+  expect(world.state.steps.open.size).toBe(0)
+})
+
+test('only ends that failed count as attempts; lost, lapsed and stopped ones go on from the newest checkpoint', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step({ checkpoints: true })])
+  for (const [attempt, outcome] of [RunOutcome.Lapsed, RunOutcome.Stopped, RunOutcome.Alone, RunOutcome.NotStarted].entries()) {
+    world.start('j', 0, 0, ['a@1'])
+    world.end('a@1', key(0, attempt + 1), outcome, attempt === 1 ? 'saved' : '')
+  }
+  world.start('j', 0, 0, ['a@1'])
+  world.take({ kind: StepTransactionKind.LoseLife, at: world.now, incarnation: 'a@1', checkpoints: [{ key: key(0, 5), checkpoint: 'newer' }] })
+  expect(world.job('j').gangs[0]?.[0]).toMatchObject({ attempts: 5, failures: 0, checkpoint: 'newer' })
+  expect(world.job('j').state).toBe(StepJobState.Running)
+})
+
+test('a cancelled job keeps its room until its runs have ended, and is not started again', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step({ tasks: 2 })])
+  world.start('j', 0, 0, ['a@1'])
+  world.take({ kind: StepTransactionKind.CancelSteps, at: world.now, identifier: 'j' })
+  expect(world.job('j').state).toBe(StepJobState.Cancelled)
+  expect(world.start('j', 0, 1, ['a@1'])).toBe('the gang does not wait')
+  expect(world.state.steps.lives.get('a@1')?.used.accelerators).toBe(1)
+  world.end('a@1', key(0), RunOutcome.Done)
+  expect(world.job('j').state).toBe(StepJobState.Cancelled)
+  expect(world.state.steps.open.size).toBe(0)
+  expect(world.take({ kind: StepTransactionKind.CancelSteps, at: world.now, identifier: 'other' })).toBe('no job other')
+})
+
+test('the highest number stays in force, and a resend is taken without effect', () => {
+  const world = StepWorld.create()
+  const replace = (number: number, source: string): string => world.take({
+    kind: StepTransactionKind.ReplaceDocument, at: world.now, number, documentJson: JSON.stringify({ queues: [], services: [], accounts: [] }), source
+  })
+  expect([replace(5, 'five'), replace(4, 'four'), replace(5, 'other')]).toEqual(['', '', ''])
+  expect(world.state.steps.document).toMatchObject({ number: 5, source: 'five' })
+})
+
+test('a snapshot holds all of it, and the same entries give the same state', () => {
+  const make = (): StepWorld => {
+    const world = StepWorld.create([worker('a'), worker('b')])
+    world.submit('j', [step({ tasks: 2, gang: true })])
+    world.start('j', 0, 0, ['b@1', 'a@1'])
+    return world
+  }
+  const [one, other] = [make(), make()]
+  expect(stateDigest(one.state)).toBe(stateDigest(other.state))
+  const restored = decodeState(encodeState(one.state))
+  expect(stateDigest(restored)).toBe(stateDigest(one.state))
+  one.end('a@1', key(1), RunOutcome.Done)
+  other.state = restored
+  other.end('a@1', key(1), RunOutcome.Done)
+  expect(stateDigest(other.state)).toBe(stateDigest(one.state))
+})
--- /dev/null
+++ b/test/steps-fixture.ts
@@ -0,0 +1,73 @@
+import { apply, initialState, StepTransactionKind, type LifeDescription, type QueueDocument, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
+
+/** One step with the given fields, a single small task by default. */
+export function step (fields: Partial<StepSpecification> = {}): StepSpecification {
+  return {
+    tasks: 1, processors: 1_000, memoryMegabytes: 1_000, accelerators: 1, estimateMilliseconds: 1_000, after: [], gang: false, sameRack: false, label: '', dataRack: '', mostPerWorker: 0, checkpoints: false, ...fields
+  }
+}
+
+/** A worker of 64 processors, 128 GB and 8 accelerators. */
+export function worker (name: string, fields: Partial<LifeDescription> = {}): LifeDescription {
+  return {
+    incarnation: `${name}@1`, worker: name, host: `host-${name}`, service: 'proofs', dataCentre: 'd', rack: 'r1', labels: ['a', fields.rack ?? 'r1'], processors: 64_000, memoryMegabytes: 131_072, accelerators: 8, ...fields
+  }
+}
+
+const queue = (name: string, priority: number): QueueDocument['queues'][number] => ({
+  name, host: 'h', prefix: `/${name}/`, service: 'proofs', priority, mostAttempts: 2, slackFactor: 2, targetLatencyMilliseconds: 500, timeoutMilliseconds: 3_000, public: false
+})
+
+/** Queues urgent, normal and later of one service, and two accounts of which one has a guarantee. */
+export const queueDocument: QueueDocument = {
+  queues: [queue('urgent', 0), queue('normal', 1), queue('later', 2)],
+  services: [{ name: 'proofs', guardsCapacity: false, standby: false }],
+  accounts: [{ name: 'one', keys: ['1'.repeat(64)], guaranteedAccelerators: 16 }, { name: 'two', keys: ['2'.repeat(64)], guaranteedAccelerators: 0 }]
+}
+
+/** Drives the core by transactions. */
+export class StepWorld {
+  now = 1_000_000
+  private constructor (public state: State) {}
+
+  static create (workers: readonly LifeDescription[] = [], document = queueDocument): StepWorld {
+    const world = new StepWorld(initialState)
+    world.take({ kind: StepTransactionKind.ReplaceDocument, at: world.now, number: 1, documentJson: JSON.stringify(document), source: 'source' })
+    for (const life of workers) world.take({ kind: StepTransactionKind.AnnounceLife, at: world.now, life })
+    return world
+  }
+
+  /** Applies an entry; returns the message of its refusal, empty where it was taken. */
+  take (transaction: Transaction): string {
+    const { state, outcome } = apply(this.state, transaction)
+    this.state = state
+    return outcome.isErr() ? outcome.error.message : ''
+  }
+
+  submit (identifier: string, steps: readonly StepSpecification[], queueName = 'normal', account = 'two'): string {
+    return this.take({ kind: StepTransactionKind.SubmitSteps, at: this.now, identifier, account, queue: queueName, specification: { payload: 'text', steps } })
+  }
+
+  start (job: string, number: number, gang: number, incarnations: readonly string[]): string {
+    const found = this.job(job).gangs[number]?.[gang]
+    const placements = incarnations.map((incarnation, position) => ({ task: (found?.first ?? 0) + position, incarnation }))
+    return this.take({ kind: StepTransactionKind.StartGang, at: this.now, job, step: number, gang, attempt: (found?.attempts ?? 0) + 1, placements })
+  }
+
+  private number = 0
+
+  end (incarnation: string, key: RunKey, outcome: RunOutcome, checkpoint = ''): void {
+    this.number += 1
+    this.take({ kind: StepTransactionKind.EndRuns, at: this.now, incarnation, ends: [{ number: this.number, key, outcome, checkpoint }] })
+  }
+
+  takeAll (transactions: readonly StepTransaction[]): string[] {
+    return transactions.map((transaction) => this.take(transaction))
+  }
+
+  job (identifier: string): StepJob {
+    const job = this.state.steps.jobs.get(identifier)
+    if (job === undefined) throw new Error(`no job ${identifier}`)
+    return job
+  }
+}
