--- /dev/null
+++ b/stand-ins/worker.ts
@@ -0,0 +1,165 @@
+/** A worker of the users' platform: starts, lists, stops, checkpoints and lapses by its own clock. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** Time that a stop takes, in milliseconds. */
+const STOP_MILLISECONDS = 20
+/** Longest lease that is granted, in milliseconds. */
+const LONGEST_LEASE_MILLISECONDS = 10_000
+
+/** What becomes of the next orders. */
+export enum OrderFault {
+  /** Carried out, but the answer is lost. */
+  AnswerLost = 'answer-lost',
+  /** Carried out later, and not answered. */
+  Late = 'late',
+  /** Refused as by an unhealthy worker. */
+  Unhealthy = 'unhealthy'
+}
+
+interface Run { readonly task: string, readonly attempt: number, readonly startedAt: number, readonly spec: string, readonly timer: NodeJS.Timeout }
+type End = readonly [number, string, number, string, string]
+interface Order { readonly task?: string, readonly attempt?: number, readonly spec?: string, readonly deadline_ms?: number, readonly fencing_token?: number, readonly ack_cursor?: number, readonly wait_ms?: number }
+interface Answer { readonly status: number, readonly body: object }
+
+/** What was seen at the worker, for tests. */
+export interface WorkerWitness {
+  readonly starts: string[]
+  readonly specs: string[]
+  /** Tasks that ran twice at the same time. */
+  readonly doubled: string[]
+}
+
+/** One worker. A task whose text is a number runs for so many milliseconds. */
+export class WorkerStandIn {
+  readonly witness: WorkerWitness = { starts: [], specs: [], doubled: [] }
+  /** Faults of the next orders, the first one first. */
+  readonly faults: OrderFault[] = []
+  readonly bornAt = Date.now()
+  /** How long a late order waits, in milliseconds. */
+  lateMilliseconds = 300
+  private readonly since = performance.now()
+  private readonly runs = new Map<string, Run>()
+  private readonly highest = new Map<string, number>()
+  private ends: End[] = []
+  private lastEnd = 0
+  private fence = 0
+  private leaseUntil = 0
+  private waiters: Array<() => void> = []
+  private leaseTimer?: NodeJS.Timeout
+
+  private constructor (private readonly server: Server, readonly name: string) {}
+
+  /**
+   * Opens a worker on a free port of the loopback address.
+   * @param name - its name
+   * @returns the worker
+   */
+  static async create (name: string): Promise<WorkerStandIn> {
+    const server = createServer()
+    const worker = new WorkerStandIn(server, name)
+    server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => { void worker.respond(incoming, outgoing) })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    return worker
+  }
+
+  /** IP number and port. */
+  get address (): string { return `127.0.0.1:${(this.server.address() as AddressInfo).port}` }
+  /** Its own clock, in milliseconds. */
+  get clock (): number { return Math.floor(performance.now() - this.since) + 1_000 }
+  /** Names of what runs. */
+  get running (): string[] { return [...this.runs.keys()].sort() }
+  /** Ends that nobody has taken note of. */
+  get unnoted (): number { return this.ends.length }
+
+  /** What it says of itself. */
+  heartbeat (fields: object = {}): object {
+    return {
+      service: 'proofs', addr: this.address, zone: 'd', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, capacity: { cpu: 64_000, mem_mb: 131_072, gpu: 8 }, labels: ['a', 'r1'], clock_ms: this.clock, seq: this.clock, born: this.bornAt, ...fields
+    }
+  }
+
+  /** Ends everything. */
+  async close (): Promise<void> {
+    for (const run of this.runs.values()) clearTimeout(run.timer)
+    clearTimeout(this.leaseTimer)
+    await new Promise<void>((resolve) => {
+      this.server.close(() => { resolve() })
+      this.server.closeAllConnections()
+    })
+  }
+
+  private async respond (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const parts: Buffer[] = []
+    for await (const part of incoming as AsyncIterable<Buffer>) parts.push(part)
+    const order = JSON.parse(Buffer.concat(parts).toString()) as Order
+    const fault = incoming.url === '/hold' ? undefined : this.faults.shift()
+    if (fault === OrderFault.Unhealthy) { outgoing.writeHead(503).end(); return }
+    if (fault === OrderFault.Late) { setTimeout(() => { void this.carryOut(incoming.url ?? '', order) }, this.lateMilliseconds); return }
+    const { status, body } = await this.carryOut(incoming.url ?? '', order)
+    if (fault === OrderFault.AnswerLost) return
+    outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...body, clock_ms: this.clock, born: this.bornAt }))
+  }
+
+  private async carryOut (path: string, order: Order): Promise<Answer> {
+    if ((order.fencing_token ?? 0) < this.fence) return { status: 409, body: { reason: 'fence' } }
+    this.fence = order.fencing_token ?? 0
+    this.extend(order.deadline_ms ?? 0)
+    const handlers: { readonly [path: string]: () => Promise<Answer> | Answer } = {
+      '/run-start': () => this.start(order), '/run-stop': () => this.stop(order), '/hold': () => this.hold(order)
+    }
+    return await handlers[path]?.() ?? { status: 404, body: {} }
+  }
+
+  private extend (until: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock + LONGEST_LEASE_MILLISECONDS))
+    clearTimeout(this.leaseTimer)
+    this.leaseTimer = setTimeout(() => {
+      for (const name of this.runs.keys()) this.finish(name, 'lapsed')
+    }, Math.max(0, this.leaseUntil - this.clock))
+  }
+
+  private start ({ task = '', attempt = 0, spec = '', deadline_ms: deadline = 0 }: Order): Answer {
+    const name = `${task}/${attempt}`
+    if (this.runs.has(name)) return { status: 200, body: {} }
+    if (deadline <= this.clock) return { status: 409, body: { reason: 'late' } }
+    if (attempt <= (this.highest.get(task) ?? 0)) return { status: 409, body: { reason: 'old' } }
+    if ([...this.runs.values()].some((run) => run.task === task)) this.witness.doubled.push(name)
+    const timer = setTimeout(() => { this.finish(name, spec === 'fail' ? 'failed' : 'done') }, Number(spec) || 0)
+    this.runs.set(name, { task, attempt, startedAt: this.clock, spec, timer })
+    this.highest.set(task, attempt)
+    this.witness.starts.push(name)
+    this.witness.specs.push(spec)
+    return { status: 200, body: {} }
+  }
+
+  private stop ({ task = '', attempt = 0 }: Order): Answer {
+    const name = `${task}/${attempt}`
+    this.highest.set(task, Math.max(attempt, this.highest.get(task) ?? 0))
+    if (this.runs.has(name)) setTimeout(() => { this.finish(name, 'stopped') }, STOP_MILLISECONDS)
+    return { status: 200, body: {} }
+  }
+
+  private async hold ({ ack_cursor: noted = 0, wait_ms: wait = 0 }: Order): Promise<Answer> {
+    this.ends = this.ends.filter(([number]) => number > noted)
+    if (wait > 0 && this.ends.length === 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, wait)
+        this.waiters.push(() => { clearTimeout(timer); resolve() })
+      })
+    }
+    const running = [...this.runs.values()].map(({ task, attempt, startedAt, spec }) => (
+      [task, attempt, '', Math.min(99, Math.floor(100 * (this.clock - startedAt) / Math.max(1, Number(spec))))]))
+    return { status: 200, body: { running, finished: this.ends } }
+  }
+
+  private finish (name: string, how: string): void {
+    const run = this.runs.get(name)
+    if (run === undefined) return
+    clearTimeout(run.timer)
+    this.runs.delete(name)
+    this.lastEnd += 1
+    this.ends.push([this.lastEnd, run.task, run.attempt, how, how === 'stopped' ? `saved-${run.attempt}` : ''])
+    for (const wake of this.waiters.splice(0)) wake()
+  }
+}
