Refuse JSON in which a field stands twice, and words of the wire outside the adapter

Cause: the last of two equal fields won silently, in the product's own document as in the platform's; nothing kept wire names out of src/. Ruled out: a reviver (it sees one of the two), the library's own parser. Change: one parser for documents and jobs (jsonc-parser's visitor); a test that looks for wire words outside platform/ and for imports across the boundary. Before: such documents were accepted. After: 400 with the path.

--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -8,11 +8,14 @@
 import { addAdmission } from './admission'
 import { Channels, KnownHosts, Leader, QueueClient } from '../client/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
+import { parseJson } from '../core/json-text'
+import { notRun, RefusalCode } from '../core/verdict'
 import { ConfigurationFollower } from './configuration-follower'
 import { EntryModule } from './entry-module'
 import { FairGate } from './fair-gate'
 import { EntryMetrics } from './metrics'
 import { OpenRequests } from './open-requests'
+import { RefusalError } from './refusal-answer'
 import { RefusalFilter } from './refusal-filter'
 
 /** Largest body that is read at all, in bytes; a submission's own limit is in the document. */
@@ -114,15 +117,27 @@
     })
     const { copy, open, leader } = this
     const application = await NestFactory.create<NestFastifyApplication>(
-      EntryModule.of({ copy, gate, leader, metrics, open }), adapterFor(tls), { logger: false, abortOnError: false })
+      EntryModule.of({ copy, gate, leader, metrics, open }), adapterFor(tls), { logger: false, abortOnError: false, bodyParser: false })
     const access = Access.create(settings.bootstrapTokenDigest)
-    addAdmission(application.getHttpAdapter().getInstance() as unknown as FastifyInstance, { access, copy, gate, metrics, open })
+    const server = application.getHttpAdapter().getInstance() as unknown as FastifyInstance
+    refuseRepeatedFields(server)
+    addAdmission(server, { access, copy, gate, metrics, open })
     application.useGlobalFilters(new RefusalFilter(logger))
     await application.init()
     return application
   }
 }
 
+/** The library's own parser lets the last of two equal fields win. */
+function refuseRepeatedFields (server: FastifyInstance): void {
+  server.removeContentTypeParser('application/json')
+  server.addContentTypeParser('application/json', { parseAs: 'string', bodyLimit: MOST_BODY_BYTES }, (_request, body, done) => {
+    parseJson(body as string).match(
+      (value) => { done(null, value) },
+      (problems) => { done(new RefusalError(notRun(RefusalCode.BadRequest, 'the body cannot be read', 0, problems))) })
+  })
+}
+
 function adapterFor (tls: TlsFiles | undefined): FastifyAdapter {
   const options = { bodyLimit: MOST_BODY_BYTES, forceCloseConnections: true, return503OnClosing: false, logger: false }
   if (tls === undefined) return new FastifyAdapter(options)
--- a/test/command-lazy.test.ts
+++ b/test/command-lazy.test.ts
@@ -120,6 +120,7 @@
         "bintrees",
         "clipanion",
         "immutable",
+        "jsonc-parser",
         "lodash.camelcase",
         "loglevel",
         "long",
--- /dev/null
+++ b/test/platform-boundary.test.ts
@@ -0,0 +1,51 @@
+/** The platform's words stay in platform/ and deploy/, and the adapter and the rest meet at few places. */
+import { readdirSync, readFileSync, statSync } from 'node:fs'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+
+/** Words of the platform's wire and settings that mean nothing else here. */
+const wireWords = [
+  'run-start', 'run-stop', 'ack_cursor', 'fencing_token', 'deadline_ms', 'api_keys', 'path_prefix', 'max_attempts', 'slack_factor', 'target_latency_ms',
+  'guaranteed_gpus', 'enforces_capacity', 'mem_mb', 'estimate_ms', 'same_rack', 'required_label', 'data_rack', 'anti_affinity', 'clock_ms', 'heartbeat_addr',
+  'x-bramleyflow', 'node_id', 'port_range', 'hold_max_ms', 'config/replace', 'config/read'
+]
+
+function filesBelow (folder: string): string[] {
+  return readdirSync(folder).flatMap((name) => {
+    const path = join(folder, name)
+    if (statSync(path).isDirectory()) return path.endsWith('generated') ? [] : filesBelow(path)
+    return path.endsWith('.ts') ? [path] : []
+  })
+}
+
+function importsOf (path: string): string[] {
+  return [...readFileSync(path, 'utf8').matchAll(/(?:from|import\() ?'([^']+)'/g)].map((match) => match[1] ?? '')
+}
+
+test('no word of the wire stands outside the adapter', () => {
+  const found = filesBelow('src').flatMap((path) => {
+    const text = readFileSync(path, 'utf8').toLowerCase()
+    return wireWords.filter((word) => text.includes(word)).map((word) => `${path}: ${word}`)
+  })
+  expect(found).toEqual([])
+})
+
+test('only the command line loads the adapter', () => {
+  const loading = filesBelow('src').filter((path) => importsOf(path).some((from) => from.includes('platform/')))
+  expect(loading).toEqual(['src/command/deployed-roles.ts'])
+})
+
+test('the adapter knows the core by its types and checks, and nothing of control or entry', () => {
+  const from = new Set(filesBelow('platform').flatMap(importsOf).filter((path) => path.startsWith('../src/')))
+  expect([...from].sort()).toMatchInlineSnapshot(`
+    [
+      "../src/agent/task-host",
+      "../src/client/index",
+      "../src/core/json-text",
+      "../src/core/problems",
+      "../src/core/steps/index",
+      "../src/core/steps/run",
+      "../src/core/verdict",
+    ]
+  `)
+})
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -92,7 +92,7 @@
     operatorDocument(9, { routes: [routeOf(third), { ...routeOf(third), name: 'again' }] }),
     operatorDocument(9, { tenants: [{ name: 'one', api_keys: ['k'] }, { name: 'two', api_keys: ['k'] }] }),
     JSON.stringify(operatorDocument(9)).slice(0, -20),
-    '{"version":9,"version":10}'
+    JSON.stringify(operatorDocument(9)).replace('{"version":9', '{"version":9,"version":10')
   ]
   const statuses = await Promise.all(broken.map(async (body) => (await bench.operate('POST', '/config/replace', body)).status))
   expect(statuses).toEqual([400, 400, 400, 400, 400, 400])
