Send requests only to a leader that has just confirmed itself

Ruled out: holding requests until the hosts are back (it hides the outage). Change: a search that asks all hosts at once to confirm themselves; only then is a request sent. Without a leader the refusal is not run, within 0.9 s. The leader logs each start and stop of a gang with its inputs.

--- /dev/null
+++ b/src/client/confirmed-calls.ts
@@ -0,0 +1,89 @@
+/**
+ * Calls that are sent only to a host that has just confirmed itself as leader. A request that no such host was there for
+ * was never sent, so its refusal can say "not run" at once; and little is sent to hosts that are silently gone.
+ */
+import type { MethodDefinition } from '@grpc/grpc-js'
+import { err, ok, type Result } from 'neverthrow'
+import type { Refusal } from '../core/verdict'
+import { ControlService, Verdict } from '../wire/index'
+import { BrokenCall, CallKind, jittered, noLeader, notLeader, sleep, type Leader, type Refusable } from './leader'
+
+/** How long such a call may take, in milliseconds. */
+export interface ConfirmedLimits {
+  /** Time to find a leader, as long as nothing was sent. */
+  readonly find: number
+  /** Time of one try. */
+  readonly tried: number
+  /** Time to learn what became of a request that may have arrived. */
+  readonly settle: number
+}
+
+/** Longest wait for a host to confirm itself, in milliseconds: a quorum answers within a few round trips. */
+const CONFIRM_MILLISECONDS = 300
+/** Pause between two searches, in milliseconds. */
+const PAUSE_MILLISECONDS = 40
+
+/** Calls to whichever host leads. */
+export class ConfirmedCalls {
+  private searching?: Promise<string | undefined>
+
+  private constructor (private readonly leader: Leader) {}
+
+  /**
+   * Makes the calls.
+   * @param leader - what is known of the leader
+   * @returns the object
+   */
+  static create (leader: Leader): ConfirmedCalls {
+    return new ConfirmedCalls(leader)
+  }
+
+  /**
+   * Calls the leader.
+   * @param method - a unary method of the Control service
+   * @param request - its message
+   * @param kind - whether it may be sent again after a break
+   * @param limits - how long it may take
+   * @returns the leader's reply, which may hold its refusal; or a refusal that says whether the request may have run
+   */
+  async call<Request, Reply extends Refusable> (
+    method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind, limits: ConfirmedLimits
+  ): Promise<Result<Reply, Refusal>> {
+    const began = performance.now()
+    let sent = false
+    const left = (): number => (sent ? limits.settle : limits.find) - (performance.now() - began)
+    while (left() > 0) {
+      const address = this.leader.fresh ?? await this.find()
+      if (address === undefined) { await sleep(jittered(PAUSE_MILLISECONDS)); continue }
+      const reply = await this.leader.ask(address, method, request, limits.tried)
+      if (reply instanceof BrokenCall) {
+        this.leader.suspect(address)
+        sent ||= reply.sent && kind !== CallKind.Read
+      } else {
+        const refusal = notLeader(reply)
+        if (refusal === undefined) { this.leader.heard(address); return ok(reply) }
+        sent ||= kind !== CallKind.Read && refusal.verdict !== Verdict.NOT_RUN
+        this.leader.learn(refusal.leader, address)
+      }
+      if (sent && kind === CallKind.Once) break
+    }
+    return err(noLeader(sent))
+  }
+
+  /** All hosts are asked at once, and callers that wait share one search. */
+  private async find (): Promise<string | undefined> {
+    this.searching ??= this.search().finally(() => { this.searching = undefined })
+    return await this.searching
+  }
+
+  private async search (): Promise<string | undefined> {
+    const asked = this.leader.addresses.map(async (address) => {
+      const reply = await this.leader.ask(address, ControlService.confirm, {}, CONFIRM_MILLISECONDS)
+      if (reply instanceof BrokenCall || reply.refusal !== undefined) throw new Error(`${address} does not lead`)
+      return address
+    })
+    const found = await Promise.any(asked).catch(() => undefined)
+    if (found !== undefined) this.leader.heard(found)
+    return found
+  }
+}
--- a/src/client/leader.ts
+++ b/src/client/leader.ts
@@ -22,6 +22,8 @@
 /** Longest wait for the first message of a stream. */
 const FIRST_MESSAGE_MILLISECONDS = 4_000
 const FIRST_PAUSE_MILLISECONDS = 20
+/** Time for which a leader that answered counts as there, in milliseconds: less than a leader takes to notice that it was cut off. */
+const FRESH_MILLISECONDS = 250
 const LONGEST_PAUSE_MILLISECONDS = 500
 /** Milliseconds after which a caller may try again while no leader is found. */
 const RETRY_AFTER_MILLISECONDS = 1_000
@@ -36,7 +38,8 @@
   Once = 'once'
 }
 
-interface Refusable {
+/** Every reply of control may be a refusal. */
+export interface Refusable {
   readonly refusal?: WireRefusal | undefined
 }
 
@@ -56,6 +59,9 @@
 export class Leader {
   private current: string | undefined
   private confirmed: string | undefined
+  private heardFrom: string | undefined
+  /** Steady milliseconds. */
+  private heardAt = -Infinity
   private readonly streams = new Map<ClientReadableStream<unknown>, string>()
 
   private constructor (
@@ -103,6 +109,24 @@
     }
   }
 
+  /**
+   * Notes that a host answered as leader, so that requests may be sent to it for a moment without asking first.
+   * @param address - the leader
+   */
+  heard (address: string): void {
+    this.current = address
+    this.heardFrom = address
+    this.heardAt = performance.now()
+  }
+
+  /** The leader, where it was heard a moment ago. */
+  get fresh (): string | undefined {
+    return this.heardFrom === this.current && performance.now() - this.heardAt < FRESH_MILLISECONDS ? this.current : undefined
+  }
+
+  /** All addresses at which control hosts may be. */
+  get addresses (): readonly string[] { return this.hosts.all }
+
   /**
    * Notes that a host did not answer as leader; the next one is asked.
    * @param address - the host
@@ -129,7 +153,7 @@
     for (const pause of pauses()) {
       const address = this.address
       const left = Math.max(1, giveUpAt - performance.now())
-      const reply = await this.tryOnce(address, method, request, Math.min(left, limits.tryMilliseconds))
+      const reply = await this.ask(address, method, request, Math.min(left, limits.tryMilliseconds))
       if (reply instanceof BrokenCall) {
         sent ||= reply.sent && kind !== CallKind.Read
         this.suspect(address)
@@ -188,7 +212,15 @@
     }
   }
 
-  private tryOnce<Request, Reply> (
+  /**
+   * Asks one host once.
+   * @param address - the host
+   * @param method - a unary method of the Control service
+   * @param request - its message
+   * @param milliseconds - longest time
+   * @returns its reply, or the break
+   */
+  ask<Request, Reply> (
     address: string, method: MethodDefinition<Request, Reply>, request: Request, milliseconds: number
   ): Promise<Reply | BrokenCall> {
     const client: Client = this.channels.to(address)
@@ -204,7 +236,12 @@
   }
 }
 
-function notLeader (reply: Refusable): WireRefusal | undefined {
+/**
+ * Tells a refusal of a host that does not lead from other replies.
+ * @param reply - any reply
+ * @returns the refusal, which may name the leader
+ */
+export function notLeader (reply: Refusable): WireRefusal | undefined {
   return reply.refusal?.code === RefusalCode.NotLeader ? reply.refusal : undefined
 }
 
@@ -214,7 +251,12 @@
   return new BrokenCall(error.details ?? error.message, !neverConnected)
 }
 
-function noLeader (sent: boolean): Refusal {
+/**
+ * The refusal where no leader was found.
+ * @param sent - the request may have arrived at one
+ * @returns not run, or may have run
+ */
+export function noLeader (sent: boolean): Refusal {
   return sent
     ? mayHaveRun('the connection to the control leader broke before it answered', RETRY_AFTER_MILLISECONDS)
     : notRun(RefusalCode.Unavailable, 'no control leader answers', RETRY_AFTER_MILLISECONDS)
--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -4,7 +4,8 @@
 import type { QueueDocument, StepJobSpecification, StepJobState } from '../core/steps/index'
 import type { Refusal } from '../core/verdict'
 import { ControlService, QueueOperation, type QueueReply, type QueueRequest } from '../wire/index'
-import { CallKind, type CallLimits, type Leader } from './leader'
+import { ConfirmedCalls, type ConfirmedLimits } from './confirmed-calls'
+import { CallKind, type Leader } from './leader'
 import { readRefusal } from './refusals'
 
 export { QueueOperation }
@@ -36,12 +37,14 @@
   readonly source: string
 }
 
-/** Longest time of one try, in milliseconds: a commit takes a few disk syncs; an election ends within it. */
+/** Longest time of one try, in milliseconds: a commit takes a few disk syncs. */
 const TRY_MILLISECONDS = 700
-/** Longest time of all tries, in milliseconds: a leader is found again within it, or the caller is told when to come back. */
-const CALL_MILLISECONDS = 2_000
-/** Part of the caller's patience that is spent on looking for a leader. */
-const PATIENCE_SHARE = 0.6
+/** Longest search for a leader, in milliseconds: an election ends within it, or the caller is told when to come back. */
+const FIND_MILLISECONDS = 900
+/** Longest time to learn what became of a request, in milliseconds. */
+const SETTLE_MILLISECONDS = 2_400
+/** Part of the caller's patience that is left for the answer to reach it. */
+const ANSWER_SHARE = 0.1
 
 const kindOf: { readonly [operation in QueueOperation]: CallKind } = {
   [QueueOperation.QUEUE_OPERATION_UNSPECIFIED]: CallKind.Once,
@@ -52,7 +55,7 @@
 
 /** Asks the leader, wherever it is. */
 export class QueueClient {
-  private constructor (private readonly leader: Leader) {}
+  private constructor (private readonly calls: ConfirmedCalls) {}
 
   /**
    * Makes the client.
@@ -60,7 +63,7 @@
    * @returns the client
    */
   static create (leader: Leader): QueueClient {
-    return new QueueClient(leader)
+    return new QueueClient(ConfirmedCalls.create(leader))
   }
 
   /**
@@ -71,7 +74,7 @@
   async ask (call: QueueCall): Promise<Result<JobAnswer, Refusal>> {
     const { operation, host, path, key, job } = call
     const request: QueueRequest = { operation, host, path, keyDigest: digestOf(key), jobJson: job === undefined ? '' : JSON.stringify(job) }
-    const reply = await this.leader.call(ControlService.queue, request, kindOf[operation], limitsFor(call.patienceMilliseconds))
+    const reply = await this.calls.call(ControlService.queue, request, kindOf[operation], limitsFor(call.patienceMilliseconds))
     return reply.andThen(answerOf)
   }
 
@@ -84,7 +87,7 @@
    */
   async replaceDocument (number: number, document: QueueDocument, source: string): Promise<Result<void, Refusal>> {
     const request = { number, documentJson: JSON.stringify(document), source }
-    const reply = await this.leader.call(ControlService.replaceDocument, request, CallKind.Repeatable, operatorLimits)
+    const reply = await this.calls.call(ControlService.replaceDocument, request, CallKind.Repeatable, operatorLimits)
     return reply.andThen(({ refusal }) => refusal === undefined ? ok(undefined) : err(readRefusal(refusal)))
   }
 
@@ -93,13 +96,13 @@
    * @returns number and text, or a refusal
    */
   async readDocument (): Promise<Result<DocumentAnswer, Refusal>> {
-    const reply = await this.leader.call(ControlService.readDocument, {}, CallKind.Read, operatorLimits)
+    const reply = await this.calls.call(ControlService.readDocument, {}, CallKind.Read, operatorLimits)
     return reply.andThen(({ refusal, number, source }) => refusal === undefined ? ok({ number, source }) : err(readRefusal(refusal)))
   }
 }
 
 /** The operator moves on to another host after a second without a response. */
-const operatorLimits: CallLimits = { tryMilliseconds: 500, callMilliseconds: 900 }
+const operatorLimits: ConfirmedLimits = { find: 600, tried: 600, settle: 900 }
 
 /**
  * The digest by which control knows a key.
@@ -110,8 +113,9 @@
   return key === '' ? '' : createHash('sha256').update(key).digest('hex')
 }
 
-function limitsFor (patienceMilliseconds: number): CallLimits {
-  return { tryMilliseconds: TRY_MILLISECONDS, callMilliseconds: Math.min(CALL_MILLISECONDS, patienceMilliseconds * PATIENCE_SHARE) }
+function limitsFor (patienceMilliseconds: number): ConfirmedLimits {
+  const patience = patienceMilliseconds * (1 - ANSWER_SHARE)
+  return { find: Math.min(FIND_MILLISECONDS, patience / 2), tried: TRY_MILLISECONDS, settle: Math.min(SETTLE_MILLISECONDS, patience) }
 }
 
 function answerOf ({ refusal, state, pending }: QueueReply): Result<JobAnswer, Refusal> {
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -51,6 +51,7 @@
     changeMembers: unary(ports, (request) => ports.changeMembers(request), (refusal) => ({ refusal, members: [] })),
     exportRecord: (call) => { exportRecord(ports, call) },
     supervise: (call) => { ports.supervise(call) },
+    confirm: unary<wire.ConfirmRequest, wire.ConfirmReply>(ports, () => Promise.resolve({ refusal: undefined }), (refusal) => ({ refusal })),
     queue: direct((request) => answerQueue(ports, request)),
     replaceDocument: direct((request) => replaceDocument(ports, request)),
     readDocument: direct(() => readDocument(ports))
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type Transaction
+  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
@@ -121,7 +121,7 @@
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
       onCommitted: (applied, leading) => { this.committed(applied, leading) },
-      decide: (head) => decide(head, { now: this.clock.now(), silent: this.agents.silent(this.clock.now()), fleet: this.supervisors.view() }),
+      decide: (head) => this.decide(head),
       onCommitTime: (milliseconds) => { this.metrics.committed(milliseconds) },
       soon: (run) => { setImmediate(run) },
       onRefusedDecision: (transaction, refusal) => { this.options.log('decision-refused', { transaction, refusal }) }
@@ -251,6 +251,23 @@
     this.supervisors.begin()
   }
 
+  private decide (head: State): readonly Transaction[] {
+    const now = this.clock.now()
+    const decisions = decide(head, { now, silent: this.agents.silent(now), fleet: this.supervisors.view() })
+    for (const decision of decisions) this.logDecision(head, decision)
+    return decisions
+  }
+
+  /** What is decided on a gang, with the inputs that a later reader lacks: its age and the document's number. */
+  private logDecision (head: State, decision: Transaction): void {
+    if (decision.kind !== StepTransactionKind.StartGang && decision.kind !== StepTransactionKind.StopGang) return
+    const { job, step, attempt } = decision
+    const found = head.steps.jobs.get(job)
+    const inputs = { job, step, attempt, queue: found?.queue.name, waitedMilliseconds: this.clock.now() - (found?.acceptedAt ?? 0), document: head.steps.document?.number }
+    if (decision.kind === StepTransactionKind.StopGang) this.options.log('gang-stopped', { ...inputs, reason: decision.reason })
+    else this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
+  }
+
   private async confirm (): Promise<boolean> {
     return (await this.replica.confirmLeadership()).isOk()
   }
