--- /dev/null
+++ b/src/control/run-progress.ts
@@ -0,0 +1,70 @@
+/** How far runs are, as agents report it. Soft state of the leader. */
+import { runName, type RunKey, type RunProgress } from '../core/index'
+import type { RunStatus } from '../wire/index'
+
+/** What was last heard of one run. */
+interface HeardRun extends RunProgress {
+  readonly key: RunKey
+  readonly incarnation: string
+  readonly checkpoint: string
+}
+
+/** What was last heard of all runs, by name. */
+export class RunProgressBook {
+  private readonly runs = new Map<string, HeardRun>()
+
+  private constructor () {}
+
+  /**
+   * Makes an empty book.
+   * @returns the book
+   */
+  static create (): RunProgressBook {
+    return new RunProgressBook()
+  }
+
+  /** All runs that the last reports listed. */
+  get view (): ReadonlyMap<string, RunProgress> { return this.runs }
+
+  /**
+   * Takes a report: it lists every run of its worker.
+   * @param incarnation - the worker's incarnation
+   * @param listed - the runs
+   * @param now - milliseconds since the epoch
+   */
+  take (incarnation: string, listed: readonly RunStatus[], now: number): void {
+    const before = new Map(this.runs)
+    this.forget(incarnation)
+    for (const { key, running, percent, checkpoint } of listed) {
+      if (key === undefined) continue
+      const name = runName(key)
+      const known = before.get(name)
+      const changedAt = known?.percent === percent && known.running === running ? known.changedAt : now
+      this.runs.set(name, { key, incarnation, running, percent, checkpoint, changedAt })
+    }
+  }
+
+  /**
+   * Forgets the runs of an incarnation.
+   * @param incarnation - the worker's incarnation
+   */
+  forget (incarnation: string): void {
+    for (const [name, run] of this.runs) if (run.incarnation === incarnation) this.runs.delete(name)
+  }
+
+  /**
+   * The newest checkpoints of an incarnation's runs.
+   * @param incarnation - the worker's incarnation
+   * @returns runs that have a checkpoint
+   */
+  checkpointsOf (incarnation: string): Array<{ readonly key: RunKey, readonly checkpoint: string }> {
+    return [...this.runs.values()]
+      .filter((run) => run.incarnation === incarnation && run.checkpoint !== '')
+      .map(({ key, checkpoint }) => ({ key, checkpoint }))
+  }
+
+  /** Forgets everything, as a new leader does. */
+  clear (): void {
+    this.runs.clear()
+  }
+}
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -6,10 +6,11 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
   RunOutcome, runName, StepTransactionKind, Trust,
-  type FleetView, type Life, type RunEnd, type RunKey, type RunProgress, type State, type StepTransaction
+  type FleetView, type Life, type RunEnd, type RunKey, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { notLeaderRefusal } from './convert'
+import { RunProgressBook } from './run-progress'
 
 /** A stream to a supervising agent, from this side. */
 export type SupervisorCall = ServerDuplexStream<wire.WorkerReport, wire.WorkerOrders>
@@ -54,12 +55,6 @@
   readonly receivedAt: number
 }
 
-interface Heard extends RunProgress {
-  readonly key: RunKey
-  readonly incarnation: string
-  readonly checkpoint: string
-}
-
 /** All streams of supervising agents. */
 export class Supervisors {
   private readonly byCall = new Map<SupervisorCall, Supervisor>()
@@ -69,7 +64,9 @@
   private readonly heardAt = new Map<string, number>()
   /** Steady milliseconds after which nothing runs in an incarnation unless it was granted more, by incarnation. */
   private readonly goneAt = new Map<string, number>()
-  private readonly heard = new Map<string, Heard>()
+  private readonly progress = RunProgressBook.create()
+  /** The last report of each agent. */
+  private readonly reports = new Map<Supervisor, wire.WorkerReport>()
   private readonly trust = Trust.create()
   private waiting: Waiting[] = []
   private confirming = false
@@ -90,7 +87,7 @@
   begin (): void {
     this.leadingSince = performance.now()
     this.goneAt.clear()
-    this.heard.clear()
+    this.progress.clear()
     this.heardAt.clear()
     this.trust.clear()
   }
@@ -123,6 +120,7 @@
 
   /** Entries for incarnations whose last lease is over. */
   overdue (): StepTransaction[] {
+    this.forgetGone()
     const now = performance.now()
     const first = this.leadingSince + this.longestLease
     return this.ports.head().steps.lives.valueSeq().toArray()
@@ -130,6 +128,16 @@
       .map(({ incarnation }) => this.loss(incarnation))
   }
 
+  private forgetGone (): void {
+    const { lives } = this.ports.head().steps
+    for (const incarnation of [...this.goneAt.keys(), ...this.heardAt.keys()]) {
+      if (lives.has(incarnation) || this.byIncarnation.has(incarnation)) continue
+      this.goneAt.delete(incarnation)
+      this.heardAt.delete(incarnation)
+      this.progress.forget(incarnation)
+    }
+  }
+
   /** What decisions need beside the log. */
   view (): FleetView {
     const now = this.ports.now()
@@ -137,7 +145,7 @@
       now,
       silent: this.silent(),
       suspects: this.trust.suspects(now),
-      progress: this.heard,
+      progress: this.progress.view,
       complete: performance.now() - this.leadingSince > COMPLETE_MILLISECONDS
     }
   }
@@ -160,15 +168,13 @@
     const supervisor = this.register(call, report)
     for (const incarnation of report.gone) this.lose(incarnation)
     if (report.life !== undefined) this.takeLife(report.host, report.life)
-    this.takeRuns(supervisor.incarnation, report)
+    this.progress.take(supervisor.incarnation, report.runs, this.ports.now())
     this.takeEnds(supervisor.incarnation, report)
     this.waiting.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, receivedAt: performance.now() })
-    this.answers.set(supervisor, report)
+    this.reports.set(supervisor, report)
     void this.answerAll()
   }
 
-  private readonly answers = new Map<Supervisor, wire.WorkerReport>()
-
   private register (call: SupervisorCall, { host, life }: wire.WorkerReport): Supervisor {
     let supervisor = this.byCall.get(call)
     if (supervisor === undefined) {
@@ -206,33 +212,15 @@
   }
 
   private loss (incarnation: string): StepTransaction {
-    const checkpoints = [...this.heard.values()].filter((run) => run.incarnation === incarnation && run.checkpoint !== '')
     this.ports.log('worker-lost', { incarnation, silentMilliseconds: Math.round(performance.now() - (this.heardAt.get(incarnation) ?? this.leadingSince)) })
     return {
       kind: StepTransactionKind.LoseLife,
       at: this.ports.now(),
       incarnation,
-      checkpoints: checkpoints.map(({ key, checkpoint }) => ({ key, checkpoint }))
-    }
-  }
-
-  private takeRuns (incarnation: string, { runs }: wire.WorkerReport): void {
-    const now = this.ports.now()
-    for (const [name, run] of this.heard) if (run.incarnation === incarnation) this.heard.delete(name)
-    const before = this.progressBefore
-    this.progressBefore = new Map([...before].filter(([, { at }]) => at > now - 60_000))
-    for (const { key, running, percent, checkpoint } of runs) {
-      if (key === undefined) continue
-      const name = runName(key)
-      const known = this.progressBefore.get(name)
-      const changedAt = known?.percent === percent && known.running === running ? known.at : now
-      this.progressBefore.set(name, { percent, running, at: changedAt })
-      this.heard.set(name, { key, incarnation, running, percent, checkpoint, changedAt })
+      checkpoints: this.progress.checkpointsOf(incarnation)
     }
   }
 
-  private progressBefore = new Map<string, { readonly percent: number, readonly running: boolean, readonly at: number }>()
-
   private takeEnds (incarnation: string, { ends }: wire.WorkerReport): void {
     const life = this.ports.head().steps.lives.get(incarnation)
     const acknowledged = life?.acknowledged ?? 0
@@ -276,7 +264,7 @@
   /** The runs that the agent listed in its last report. */
   private known (incarnation: string): ReadonlySet<string> {
     const supervisor = this.byIncarnation.get(incarnation)
-    const report = supervisor === undefined ? undefined : this.answers.get(supervisor)
+    const report = supervisor === undefined ? undefined : this.reports.get(supervisor)
     const keys = [...report?.runs ?? [], ...report?.ends ?? []].map(({ key }) => key)
     return new Set(keys.flatMap((key) => key === undefined ? [] : [runName(key)]))
   }
@@ -284,7 +272,7 @@
   private send (supervisor: Supervisor, { sequence, leaseUntil }: Pick<wire.WorkerOrders, 'sequence' | 'leaseUntil'>, listed: ReadonlySet<string>): void {
     const { steps } = this.ports.committed()
     const life = steps.lives.get(supervisor.incarnation)
-    const report = this.answers.get(supervisor)
+    const report = this.reports.get(supervisor)
     const orders = wire.WorkerOrders.fromPartial({
       term: this.ports.term(),
       sequence,
@@ -316,7 +304,8 @@
       const gang = jobs.get(key.job)?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
       return gang?.run?.stopping !== undefined
     })
-    const strays = (report?.runs ?? []).flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
+    const neverBegun = (report?.ends ?? []).filter(({ number }) => number === 0)
+    const strays = [...report?.runs ?? [], ...neverBegun].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
     return [...stopping, ...strays]
   }
 
@@ -328,7 +317,7 @@
     const supervisor = this.byCall.get(call)
     this.byCall.delete(call)
     if (supervisor === undefined) return
-    this.answers.delete(supervisor)
+    this.reports.delete(supervisor)
     if (this.byHost.get(supervisor.host) === supervisor) this.byHost.delete(supervisor.host)
     if (this.byIncarnation.get(supervisor.incarnation) === supervisor) this.byIncarnation.delete(supervisor.incarnation)
     this.ports.log('supervisor-gone', { host: supervisor.host })
--- /dev/null
+++ b/test/supervisors.test.ts
@@ -0,0 +1,144 @@
+import { EventEmitter } from 'node:events'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { Supervisors, type SupervisorCall } from '../src/control/supervisors'
+import { RunOutcome, StepTransactionKind, type StepTransaction, type Transaction } from '../src/core/index'
+import { WorkerReport, type WorkerOrders } from '../src/wire'
+import { step, StepWorld, worker } from './steps-fixture'
+
+const LEASE = 4_000
+
+/** The leader's side with a state that takes what it proposes, and one stream. */
+class Leader {
+  readonly world = StepWorld.create([worker('a')])
+  readonly proposed: StepTransaction[] = []
+  readonly orders: WorkerOrders[] = []
+  confirmed = true
+  confirmations: Array<() => void> = []
+  holdConfirmations = false
+  readonly supervisors = Supervisors.create({
+    head: () => this.world.state,
+    committed: () => this.world.state,
+    term: () => 3,
+    now: () => Date.now(),
+    submit: async (transaction: Transaction) => {
+      this.proposed.push(transaction as StepTransaction)
+      return await Promise.resolve(this.world.take(transaction))
+    },
+    confirm: async () => {
+      if (this.holdConfirmations) await new Promise<void>((resolve) => { this.confirmations.push(resolve) })
+      return this.confirmed
+    },
+    controlHosts: () => ['127.0.0.1:1'],
+    leaseMilliseconds: LEASE,
+    log: () => {}
+  })
+
+  call = this.attach()
+
+  attach (): SupervisorCall {
+    const call = Object.assign(new EventEmitter(), { write: (orders: WorkerOrders) => { this.orders.push(orders); return true }, end: () => {} }) as unknown as SupervisorCall
+    this.supervisors.attach(call)
+    return call
+  }
+
+  async report (fields: Parameters<typeof WorkerReport.fromPartial>[0] = {}, name = 'a'): Promise<WorkerOrders | undefined> {
+    const { host, processors, ...life } = worker(name)
+    this.call.emit('data', WorkerReport.fromPartial({ host, sequence: 1, clock: 1_000, life: { ...life, processors, labels: [...life.labels] }, ...fields }))
+    await vi.advanceTimersByTimeAsync(0)
+    return this.orders.at(-1)
+  }
+
+  overdue (): string[] {
+    return this.supervisors.overdue().map(({ kind }) => kind)
+  }
+}
+
+let leader: Leader
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['performance', 'Date', 'setTimeout', 'setInterval', 'setImmediate'] })
+  leader = new Leader()
+  leader.supervisors.begin()
+})
+
+afterEach(() => { vi.useRealTimers() })
+
+test('a lease ends at an absolute time of the worker\'s clock, as last heard before the report', async () => {
+  expect(await leader.report({ clock: 5_000 })).toMatchObject({ term: 3, sequence: 1, incarnation: 'a@1', leaseUntil: 9_000, controlHosts: ['127.0.0.1:1'] })
+})
+
+test('nothing is granted without a quorum, nor for a report that came before the confirmation began', async () => {
+  leader.confirmed = false
+  expect(await leader.report()).toBeUndefined()
+  leader.confirmed = true
+  leader.holdConfirmations = true
+  await leader.report({ sequence: 7 })
+  await leader.report({ sequence: 8 })
+  expect(leader.orders).toEqual([])
+  leader.confirmations.shift()?.()
+  await vi.advanceTimersByTimeAsync(0)
+  expect(leader.orders.map(({ sequence }) => sequence)).toEqual([7])
+  leader.confirmations.shift()?.()
+  await vi.advanceTimersByTimeAsync(0)
+  expect(leader.orders.map(({ sequence }) => sequence)).toEqual([7, 8])
+})
+
+test('a worker counts as gone only after the longest lease, of this leader or an earlier one, with its slow clock', async () => {
+  await vi.advanceTimersByTimeAsync(LEASE * 1.02)
+  expect(leader.overdue()).toEqual([])
+  await leader.report()
+  await vi.advanceTimersByTimeAsync(LEASE * 1.02)
+  expect(leader.overdue()).toEqual([])
+  await vi.advanceTimersByTimeAsync(LEASE * 0.1)
+  expect(leader.overdue()).toEqual([StepTransactionKind.LoseLife])
+})
+
+test('a run is ordered until the agent lists it, and stopped where the log does not want it', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  const key = { job: 'j', step: 0, task: 0, attempt: 1 }
+  expect((await leader.report())?.starts).toMatchObject([{ key, payload: 'text' }])
+  expect((await leader.report())?.starts).toMatchObject([{ key }])
+  expect((await leader.report({ runs: [{ key, running: true, percent: 5 }] }))?.starts).toEqual([])
+  const stray = { ...key, attempt: 9 }
+  expect((await leader.report({ runs: [{ key, running: true }, { key: stray, running: true }] }))?.stops).toEqual([stray])
+  expect((await leader.report({ runs: [{ key, running: true }], ends: [{ number: 0, key: stray, outcome: RunOutcome.NotStarted }] }))?.stops).toEqual([stray])
+  leader.world.take({ kind: StepTransactionKind.CancelSteps, at: Date.now(), identifier: 'j' })
+  expect((await leader.report({ runs: [{ key, running: true }] }))?.stops).toEqual([key])
+})
+
+test('ends are acknowledged once they are in the log, and proposed once', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  const ends = [{ number: 1, key: { job: 'j', step: 0, task: 0, attempt: 1 }, outcome: RunOutcome.Done }]
+  await leader.report({ ends })
+  const again = await leader.report({ ends })
+  expect(again?.acknowledged).toBe(1)
+  expect(leader.proposed.filter(({ kind }) => kind === StepTransactionKind.EndRuns)).toHaveLength(1)
+})
+
+test('another incarnation on the same host ends the former one', async () => {
+  const { host, ...life } = worker('b')
+  await leader.report({ host: 'host-a', life: { ...life, labels: [] } })
+  expect(leader.proposed.map(({ kind }) => kind)).toEqual([StepTransactionKind.LoseLife, StepTransactionKind.AnnounceLife])
+  expect(host).toBe('host-b')
+  expect([...leader.world.state.steps.lives.keys()]).toEqual(['b@1'])
+})
+
+test('a worker on which a run failed is suspected until one gets done there or time has passed', async () => {
+  leader.world.submit('j', [step({ tasks: 2 })])
+  leader.world.start('j', 0, 0, ['a@1'])
+  leader.world.start('j', 0, 1, ['a@1'])
+  const end = (number: number, task: number, outcome: RunOutcome): object => ({ number, key: { job: 'j', step: 0, task, attempt: 1 }, outcome })
+  await leader.report({ ends: [end(1, 0, RunOutcome.Failed) as never] })
+  expect([...leader.supervisors.view().suspects]).toEqual(['a@1'])
+  await leader.report({ ends: [end(2, 1, RunOutcome.Done) as never] })
+  expect([...leader.supervisors.view().suspects]).toEqual([])
+})
+
+test('a worker that is not heard of gets no new work', async () => {
+  await leader.report()
+  expect([...leader.supervisors.view().silent]).toEqual([])
+  await vi.advanceTimersByTimeAsync(1_400)
+  expect([...leader.supervisors.view().silent]).toEqual(['a@1'])
+})
