--- a/src/client/index.ts
+++ b/src/client/index.ts
@@ -1,5 +1,6 @@
 export { CallKind, BrokenCall, Leader, jittered, sleep, type CallLimits } from './leader'
 export { Channels } from './channels'
+export { connectControl, type ControlConnection } from './connection'
 export { KnownHosts } from './known-hosts'
 export { digestOf, QueueClient, QueueOperation, type DocumentAnswer, type JobAnswer, type QueueCall } from './queue-client'
 export { mayHaveRun, readRefusal, readVerdict } from './refusals'
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -1,4 +1,5 @@
 /** The roles as the users' platform runs them: each with the platform's door in front of it. */
+import type { EntryHost } from '../entry/index'
 import { createLogger } from '../logging'
 import { Role, controlHostsOf, type DeploymentSettings, type Settings, type TlsFiles } from '../settings/index'
 import { logTo, startControl, startEntryHost, type RunningRole, type StartRole } from './roles'
@@ -17,14 +18,21 @@
   return address
 }
 
+/** The door opens first: clients are answered while the rest of the entry is still being loaded. */
 async function startDeployedEntry (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
-  const { ClientDoor } = await import('../../platform/index')
+  const { connectControl, QueueClient } = await import('../client/index')
+  const { ClientDoor } = await import('../../platform/client-api')
   const deployment = deploymentOf(settings)
-  const entry = await startEntryHost(settings, tls)
-  const { host } = entry
+  const connection = connectControl(settings.controlHosts, createLogger(Role.Entry, settings.logLevel), tls)
+  const started: { host?: EntryHost } = {}
   const door = await ClientDoor.open({
-    address: doorAddress('clients', deployment), readinessAddress: doorAddress('readiness', deployment), queues: host.queues, ready: () => host.ready
+    address: doorAddress('clients', deployment),
+    readinessAddress: doorAddress('readiness', deployment),
+    queues: QueueClient.create(connection.leader),
+    ready: () => started.host?.ready === true
   })
+  const entry = await startEntryHost(settings, tls, connection)
+  started.host = entry.host
   return {
     role: Role.Entry,
     stopDeadlineMilliseconds: entry.stopDeadlineMilliseconds,
@@ -32,19 +40,17 @@
       await door.close()
       return await entry.stop(deadlineMilliseconds)
     },
-    reload: (fresh) => { host.hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
+    reload: (fresh) => { connection.hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
   }
 }
 
 /** A control host without a disk keeps nothing: its door asks the leader. */
 async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
-  const { Channels, KnownHosts, Leader, QueueClient } = await import('../client/index')
+  const { connectControl, QueueClient } = await import('../client/index')
   const { OperatorDoor } = await import('../../platform/operator')
   const control = settings.control === undefined ? undefined : await startControl(settings, tls)
-  const hosts = KnownHosts.create(settings.controlHosts)
-  const channels = Channels.create(tls)
-  const queues = QueueClient.create(Leader.create(hosts, channels, createLogger(Role.Control, settings.logLevel)))
-  const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues })
+  const { hosts, channels, leader } = connectControl(settings.controlHosts, createLogger(Role.Control, settings.logLevel), tls)
+  const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
   return {
     role: Role.Control,
     stopDeadlineMilliseconds: (control?.stopDeadlineMilliseconds ?? 0) + SHORT_STOP_MILLISECONDS,
--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -1,5 +1,6 @@
 import { createLogger, type Logger } from '../logging'
 import { ExitCode } from './exit-code'
+import type { ControlConnection } from '../client/index'
 import type { ControlOptions } from '../control/index'
 import type { EntryHost } from '../entry/index'
 import { recordBytesOf, Role, type Settings, type TlsFiles } from '../settings/index'
@@ -84,13 +85,14 @@
  * Starts an entry.
  * @param settings - the settings of the process
  * @param tls - certificate files, undefined for plain connections
+ * @param connection - shared with others of this process
  * @returns the running role with the entry
  */
-export async function startEntryHost (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole & { readonly host: EntryHost }> {
+export async function startEntryHost (settings: Settings, tls: TlsFiles | undefined, connection?: ControlConnection): Promise<RunningRole & { readonly host: EntryHost }> {
   const { EntryHost } = await import('../entry/index')
   const entry = section(settings, Role.Entry)
   const logger = createLogger(Role.Entry, settings.logLevel)
-  const host = EntryHost.create({ host: settings.host, settings: entry, controlHosts: settings.controlHosts, tls, logger })
+  const host = EntryHost.create({ host: settings.host, settings: entry, controlHosts: settings.controlHosts, tls, logger, connection })
   await host.start()
   return {
     host,
@@ -128,7 +130,7 @@
 /** How each role is started. */
 export const startRole: Readonly<Record<Role, StartRole>> = {
   [Role.Control]: startControl,
-  [Role.Entry]: startEntryHost,
+  [Role.Entry]: async (settings, tls) => await startEntryHost(settings, tls),
   [Role.Agent]: startAgent
 }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
+  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, StopReason, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
@@ -59,6 +59,9 @@
 /** Time between two entries that count refusals, in milliseconds. */
 const REFUSALS_MILLISECONDS = 1_000
 
+/** Stops that speak against the workers. */
+const heldUpReasons: ReadonlySet<StopReason> = new Set([StopReason.Stalled, StopReason.Slow])
+
 const agentKinds: ReadonlySet<EffectKind> = new Set([
   EffectKind.Reserve, EffectKind.Release, EffectKind.Start, EffectKind.Stop, EffectKind.Acknowledge
 ])
@@ -264,8 +267,12 @@
     const { job, step, attempt } = decision
     const found = head.steps.jobs.get(job)
     const inputs = { job, step, attempt, queue: found?.queue.name, waitedMilliseconds: this.clock.now() - (found?.acceptedAt ?? 0), document: head.steps.document?.number }
-    if (decision.kind === StepTransactionKind.StopGang) this.options.log('gang-stopped', { ...inputs, reason: decision.reason })
-    else this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
+    if (decision.kind === StepTransactionKind.StopGang) {
+      const workers = found?.gangs[step]?.[decision.gang]?.run?.members.map(({ incarnation }) => incarnation) ?? []
+      if (heldUpReasons.has(decision.reason)) this.supervisors.gaveUp(workers)
+      this.options.log('gang-stopped', { ...inputs, reason: decision.reason, workers })
+    }
+    if (decision.kind === StepTransactionKind.StartGang) this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
   }
 
   private async confirm (): Promise<boolean> {
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -118,6 +118,11 @@
     }
   }
 
+  /** Remembers the workers on which a run was given up. */
+  gaveUp (incarnations: readonly string[]): void {
+    for (const incarnation of incarnations) this.trust.heldUp(incarnation, this.ports.now())
+  }
+
   /** Entries for incarnations whose last lease is over. */
   overdue (): StepTransaction[] {
     this.forgetGone()
--- a/src/core/steps/candidates.ts
+++ b/src/core/steps/candidates.ts
@@ -1,4 +1,5 @@
 /** The workers that a step may run on, in groups from the best to the worst. */
+import type { Queue } from './document'
 import type { Life, StepSpecification, StepState } from './model'
 import type { WaitingGang } from './order'
 
@@ -19,13 +20,23 @@
  */
 export function eligibleWorkers (state: StepState, waiting: WaitingGang, choice: Choice): Life[] {
   const { queue, step } = waiting
-  const { silent, suspects } = choice
-  const lives = [...state.lives.values()].filter((life) => (
-    life.service === queue.service && !life.leaving && !silent.has(life.incarnation) && carries(life, step)))
-  const trusted = lives.filter(({ incarnation }) => !suspects.has(incarnation))
+  const lives = [...state.lives.values()].filter((life) => mayUse(life, queue, step, choice))
+  const trusted = lives.filter(({ incarnation }) => !choice.suspects.has(incarnation))
   return (trusted.length > 0 ? trusted : lives).sort((one, other) => one.incarnation < other.incarnation ? -1 : 1)
 }
 
+/**
+ * Tells whether a worker may run a step at all.
+ * @param life - the worker
+ * @param queue - the queue of the job
+ * @param step - the step
+ * @param choice - what limits the choice
+ * @returns true where service, label and state fit
+ */
+export function mayUse (life: Life, queue: Queue, step: StepSpecification, choice: Choice): boolean {
+  return life.service === queue.service && !life.leaving && !choice.silent.has(life.incarnation) && carries(life, step)
+}
+
 function carries (life: Life, { label }: StepSpecification): boolean {
   return label === '' || life.labels.includes(label)
 }
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -61,6 +61,8 @@
   WorkerLeaving = 'worker-leaving',
   /** No progress on this worker. */
   Stalled = 'stalled',
+  /** So little progress that another worker would be done sooner. */
+  Slow = 'slow',
   /** Not all members ran in time. */
   Incomplete = 'incomplete'
 }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,8 +1,9 @@
 /** One round of decisions on jobs of steps: what to stop, then what to start, in the order of the queue. */
-import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
-import { noResources, StopReason, type Life, type StepState } from './model'
+import { eligibleWorkers, mayUse, needsOneRack, rackGroups, type Choice } from './candidates'
+import { queueOfJob } from './jobs'
+import { noResources, StopReason, type Life, type StepJob, type StepState } from './model'
 import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
-import { placeTasks, Rooms } from './rooms'
+import { needOf, placeTasks, Rooms } from './rooms'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { giveStopping, planRoom, victimsFor, type RoomPlan } from './victims'
 import { watchRuns, type RunProgress } from './watch'
@@ -30,11 +31,22 @@
  */
 export function scheduleSteps (state: StepState, view: FleetView): StepTransaction[] {
   if (state.open.size === 0) return []
-  const stops = view.complete ? watchRuns(state, view.progress, view.now) : []
+  const stops = view.complete ? watchRuns(state, { ...view, hasRoomElsewhere: (job, step, workers) => hasRoomElsewhere(state, view, job, step, workers) }) : []
   if (stops.length > 0) return stops
   return Round.create(state, view).run()
 }
 
+/** Only workers that nobody suspects count. */
+function hasRoomElsewhere (state: StepState, view: FleetView, job: StepJob, number: number, workers: ReadonlySet<string>): boolean {
+  const step = job.specification.steps[number]
+  const gang = job.gangs[number]?.[0]
+  if (step === undefined || gang === undefined) return false
+  const queue = queueOfJob(state, job)
+  const lives = [...state.lives.values()].filter((life) => mayUse(life, queue, step, view) && !workers.has(life.incarnation) && !view.suspects.has(life.incarnation))
+  const tasks = Array.from({ length: gang.size }, (_, position) => position)
+  return placeTasks(needOf(job.identifier, number, step), tasks, lives, Rooms.of(lives)) !== undefined
+}
+
 /** A round under way: room that earlier gangs took is gone for later ones. */
 class Round {
   private readonly rooms: Rooms
--- a/src/core/steps/trust.ts
+++ b/src/core/steps/trust.ts
@@ -6,6 +6,7 @@
 /** What is remembered of workers, by incarnation. */
 export class Trust {
   private readonly suspectUntil = new Map<string, number>()
+  private readonly slowUntil = new Map<string, number>()
 
   private constructor () {}
 
@@ -17,7 +18,12 @@
     return new Trust()
   }
 
-  /** A run failed, or stood still, on a worker. */
+  /** A run stood still, or nearly so, on a worker; others that get done there prove nothing. */
+  heldUp (incarnation: string, now: number): void {
+    this.slowUntil.set(incarnation, now + SUSPECT_MILLISECONDS)
+  }
+
+  /** A run failed on a worker. */
   failed (incarnation: string, now: number): void {
     this.suspectUntil.set(incarnation, now + SUSPECT_MILLISECONDS)
   }
@@ -29,12 +35,15 @@
 
   /** The workers that are suspected now. */
   suspects (now: number): ReadonlySet<string> {
-    for (const [incarnation, until] of this.suspectUntil) if (until <= now) this.suspectUntil.delete(incarnation)
-    return new Set(this.suspectUntil.keys())
+    for (const memory of [this.suspectUntil, this.slowUntil]) {
+      for (const [incarnation, until] of memory) if (until <= now) memory.delete(incarnation)
+    }
+    return new Set([...this.suspectUntil.keys(), ...this.slowUntil.keys()])
   }
 
   /** Forgets everything, as a new leader does. */
   clear (): void {
     this.suspectUntil.clear()
+    this.slowUntil.clear()
   }
 }
--- a/src/core/steps/watch.ts
+++ b/src/core/steps/watch.ts
@@ -12,49 +12,81 @@
   readonly changedAt: number
 }
 
+/** What the look at runs needs beside the log. */
+export interface RunsView {
+  /** Milliseconds since the epoch. */
+  readonly now: number
+  readonly progress: ReadonlyMap<string, RunProgress>
+  /** Workers that are not heard of in time: their runs may go on, whatever was last heard of them. */
+  readonly silent: ReadonlySet<string>
+  /** Whether another worker could take a task now. */
+  readonly hasRoomElsewhere: (job: StepJob, step: number, workers: ReadonlySet<string>) => boolean
+}
+
 /** Time in which every member of a run must be listed by its worker, in milliseconds; half of what a gang waits for its members. */
 const START_MILLISECONDS = 1_500
 /** Time without any progress after which a run is stopped, in milliseconds: far above one hundredth of a long task on a slow worker. */
 const STALL_MILLISECONDS = 3_500
 /** Work left that a leaving worker is given the time to end, in milliseconds. */
 const LEAVING_MILLISECONDS = 2_500
+/** Time after which a run's pace says something, in milliseconds. */
+const PACE_MILLISECONDS = 1_500
+/** Times its estimate beyond which a run counts as slow: callers' estimates are up to twice too low. */
+const SLOW_ESTIMATES = 3.5
+/** Times its estimate that a run must still need, so that starting anew elsewhere is the sooner end. */
+const WORTH_MOVING_ESTIMATES = 1.8
 
 /**
  * Decides which runs are to be stopped where they are.
  * @param state - the jobs of steps
- * @param progress - what agents reported, by the name of the run
- * @param now - milliseconds since the epoch
+ * @param view - what is known beside the log
  * @returns the stops
  */
-export function watchRuns (state: StepState, progress: ReadonlyMap<string, RunProgress>, now: number): StopGang[] {
+export function watchRuns (state: StepState, view: RunsView): StopGang[] {
   const stops: StopGang[] = []
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined) continue
     job.gangs.forEach((gangs, step) => gangs.forEach((gang, position) => {
-      const reason = reasonToStop(state, job, step, gang, progress, now)
+      const reason = reasonToStop(state, job, step, gang, view)
       if (reason === undefined || gang.run === undefined) return
-      stops.push({ kind: StepTransactionKind.StopGang, at: now, job: identifier, step, gang: position, attempt: gang.run.attempt, reason })
+      stops.push({ kind: StepTransactionKind.StopGang, at: view.now, job: identifier, step, gang: position, attempt: gang.run.attempt, reason })
     }))
   }
   return stops
 }
 
-function reasonToStop (state: StepState, job: StepJob, number: number, gang: Gang, progress: ReadonlyMap<string, RunProgress>, now: number): StopReason | undefined {
+function reasonToStop (state: StepState, job: StepJob, number: number, gang: Gang, view: RunsView): StopReason | undefined {
   const { run } = gang
   const step = job.specification.steps[number]
   if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return undefined
-  const seen = run.members.filter(({ ended }) => !ended)
-    .map(({ task }) => progress.get(runName({ job: job.identifier, step: number, task, attempt: run.attempt })))
-  if (seen.some((member) => member?.running !== true)) return now - run.startedAt > START_MILLISECONDS ? StopReason.Incomplete : undefined
+  const left = run.members.filter(({ ended }) => !ended)
+  if (left.every(({ incarnation }) => view.silent.has(incarnation))) return undefined
+  const seen = left.map(({ task }) => view.progress.get(runName({ job: job.identifier, step: number, task, attempt: run.attempt })))
+  if (seen.some((member) => member?.running !== true)) return view.now - run.startedAt > START_MILLISECONDS ? StopReason.Incomplete : undefined
+  if (left.some(({ incarnation }) => view.silent.has(incarnation))) return undefined
   const members = seen as RunProgress[]
-  if (members.length > 0 && members.every(({ changedAt }) => now - changedAt > STALL_MILLISECONDS)) return StopReason.Stalled
-  const leaves = run.members.some(({ incarnation }) => state.lives.get(incarnation)?.leaving === true)
-  return leaves && !endsSoon(step, run.startedAt, members, now) ? StopReason.WorkerLeaving : undefined
+  const workers = new Set(left.map(({ incarnation }) => incarnation))
+  const pace = paceOf(step, run.startedAt, members, view.now)
+  if (members.length > 0 && members.every(({ changedAt }) => view.now - changedAt > STALL_MILLISECONDS)) return StopReason.Stalled
+  if (pace.slow && view.hasRoomElsewhere(job, number, workers)) return StopReason.Slow
+  const leaves = left.some(({ incarnation }) => state.lives.get(incarnation)?.leaving === true)
+  return leaves && pace.leftMilliseconds >= (step.checkpoints ? LEAVING_MILLISECONDS / 2 : LEAVING_MILLISECONDS) ? StopReason.WorkerLeaving : undefined
+}
+
+interface Pace {
+  readonly leftMilliseconds: number
+  readonly slow: boolean
 }
 
-function endsSoon (step: StepSpecification, startedAt: number, members: readonly RunProgress[], now: number): boolean {
+/** Where a run gets to at the rate that it has had so far. */
+function paceOf (step: StepSpecification, startedAt: number, members: readonly RunProgress[], now: number): Pace {
   const percent = Math.min(...members.map((member) => member.percent))
-  const left = percent > 0 ? (now - startedAt) * (100 - percent) / percent : step.estimateMilliseconds
-  return left < (step.checkpoints ? LEAVING_MILLISECONDS / 2 : LEAVING_MILLISECONDS)
+  const elapsed = now - startedAt
+  if (percent <= 0 && elapsed < PACE_MILLISECONDS) return { leftMilliseconds: step.estimateMilliseconds, slow: false }
+  const leftMilliseconds = elapsed * (100 - percent) / Math.max(1, percent)
+  const { estimateMilliseconds } = step
+  const slow = estimateMilliseconds > 0 && elapsed >= PACE_MILLISECONDS &&
+    elapsed + leftMilliseconds > SLOW_ESTIMATES * estimateMilliseconds && leftMilliseconds > WORTH_MOVING_ESTIMATES * estimateMilliseconds
+  return { leftMilliseconds, slow }
 }
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -6,7 +6,7 @@
 import { parseAddress, type EntrySettings, type TlsFiles } from '../settings/index'
 import { Access } from './access'
 import { addAdmission } from './admission'
-import { Channels, KnownHosts, Leader, QueueClient } from '../client/index'
+import { connectControl, type Channels, type ControlConnection, type Leader } from '../client/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
 import { parseJson } from '../core/json-text'
 import { notRun, RefusalCode } from '../core/verdict'
@@ -33,6 +33,8 @@
   readonly controlHosts: readonly string[]
   readonly tls?: TlsFiles
   readonly logger: Logger
+  /** Connections that others of this process use as well; made anew by default. */
+  readonly connection?: ControlConnection
 }
 
 /** One entry: an HTTP server that carries requests to the control leader. */
@@ -42,20 +44,15 @@
   private readonly channels: Channels
   private readonly copy = ConfigurationCopy.create()
   private readonly open = OpenRequests.create()
-  /** Where control hosts are; settings that are read again change it. */
-  readonly hosts: KnownHosts
-  /** Carries requests to queues to the leader. */
-  readonly queues: QueueClient
   private readonly leader: Leader
   private readonly follower: ConfigurationFollower
 
   private constructor (private readonly options: EntryOptions) {
-    this.channels = Channels.create(options.tls)
-    this.hosts = KnownHosts.create(options.controlHosts)
-    this.leader = Leader.create(this.hosts, this.channels, options.logger)
-    this.queues = QueueClient.create(this.leader)
+    const { hosts, channels, leader } = options.connection ?? connectControl(options.controlHosts, options.logger, options.tls)
+    this.channels = channels
+    this.leader = leader
     this.follower = ConfigurationFollower.create({
-      entry: options.host, hosts: this.hosts, leader: this.leader, channels: this.channels, copy: this.copy, logger: options.logger
+      entry: options.host, hosts, leader: this.leader, channels: this.channels, copy: this.copy, logger: options.logger
     })
   }
 
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -115,3 +115,31 @@
   const moving = new Map([[name, { ...running, changedAt: world.now }]])
   expect(scheduleSteps(world.state.steps, view(world, { complete: true, progress: moving })).map(shown)).toEqual([`stop j ${StopReason.WorkerLeaving}`])
 })
+
+test('a run on a worker that is not heard of is left alone, whatever was last heard of it', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step()])
+  decide(world)
+  world.now += 9_000
+  const stale = new Map([['j.0.0.1', { running: true, percent: 10, changedAt: world.now - 8_000 }]])
+  expect(decide(world, { complete: true, silent: new Set(['a@1']), progress: stale })).toEqual([])
+  expect(decide(world, { complete: true, silent: new Set(['a@1']) })).toEqual([])
+})
+
+test('a run that crawls is moved where another worker would be done sooner, and only there', () => {
+  const crawling = (): [StepWorld, Map<string, { running: boolean, percent: number, changedAt: number }>] => {
+    const world = StepWorld.create([worker('a'), worker('b')])
+    world.submit('j', [step({ accelerators: 8, estimateMilliseconds: 3_000 })])
+    decide(world)
+    world.now += 2_000
+    return [world, new Map([['j.0.0.1', { running: true, percent: 8, changedAt: world.now }]])]
+  }
+  const [world, progress] = crawling()
+  expect(decide(world, { complete: true, progress })).toEqual([`stop j ${StopReason.Slow}`])
+  const [full, same] = crawling()
+  full.submit('other', [step({ accelerators: 8 })])
+  decide(full)
+  expect(decide(full, { complete: true, progress: new Map([...same, ['other.0.0.1', { running: true, percent: 50, changedAt: full.now }]]) })).toEqual([])
+  const [suspected, again] = crawling()
+  expect(decide(suspected, { complete: true, progress: again, suspects: new Set(['b@1']) })).toEqual([])
+})
