Lose less work to urgent jobs: a moment's patience, checkpoints kept apart, no victim in turns

Ruled out: moving slow runs. It is gone again; estimates are off by up to five times, so a pace would have to be learned by queue first. Change: an urgent gang waits up to 0.8 s before work without a checkpoint is stopped, and keeps the room planned for it; such work is placed together; each earlier attempt makes a gang a dearer victim; hopeless work comes last. Docs: OPERATIONS.md takes in OPERATING.md; INCIDENTS.md; the client's search for a leader has its tests.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -60,7 +60,7 @@
 const REFUSALS_MILLISECONDS = 1_000
 
 /** Stops that speak against the workers. */
-const heldUpReasons: ReadonlySet<StopReason> = new Set([StopReason.Stalled, StopReason.Slow])
+const heldUpReasons: ReadonlySet<StopReason> = new Set([StopReason.Stalled])
 
 const agentKinds: ReadonlySet<EffectKind> = new Set([
   EffectKind.Reserve, EffectKind.Release, EffectKind.Start, EffectKind.Stop, EffectKind.Acknowledge
@@ -270,7 +270,9 @@
     if (decision.kind === StepTransactionKind.StopGang) {
       const workers = found?.gangs[step]?.[decision.gang]?.run?.members.map(({ incarnation }) => incarnation) ?? []
       if (heldUpReasons.has(decision.reason)) this.supervisors.gaveUp(workers)
-      this.options.log('gang-stopped', { ...inputs, reason: decision.reason, workers })
+      const percents = this.supervisors.percentsOf({ job, step, attempt }, found?.gangs[step]?.[decision.gang]?.run?.members.map(({ task }) => task) ?? [])
+      const runMilliseconds = this.clock.now() - (found?.gangs[step]?.[decision.gang]?.run?.startedAt ?? 0)
+      this.options.log('gang-stopped', { ...inputs, reason: decision.reason, workers, percents, runMilliseconds, estimateMilliseconds: found?.specification.steps[step]?.estimateMilliseconds })
     }
     if (decision.kind === StepTransactionKind.StartGang) this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
   }
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -118,6 +118,11 @@
     }
   }
 
+  /** How far the members of a run are, as last reported. */
+  percentsOf (run: Omit<RunKey, 'task'>, tasks: readonly number[]): number[] {
+    return tasks.map((task) => this.progress.view.get(runName({ ...run, task }))?.percent ?? 0)
+  }
+
   /** Remembers the workers on which a run was given up. */
   gaveUp (incarnations: readonly string[]): void {
     for (const incarnation of incarnations) this.trust.heldUp(incarnation, this.ports.now())
--- a/src/core/steps/order.ts
+++ b/src/core/steps/order.ts
@@ -28,7 +28,7 @@
  * @param state - the jobs of steps
  * @param guaranteed - see {@link guaranteedJobs}
  * @param now - milliseconds since the epoch
- * @returns by priority; guaranteed ones first, hopeless ones last; then by age
+ * @returns by priority, with hopeless ones after all others; guaranteed ones first; then by age
  */
 export function waitingGangs (state: StepState, guaranteed: ReadonlySet<string>, now: number): WaitingGang[] {
   const waiting: WaitingGang[] = []
@@ -55,14 +55,23 @@
 }
 
 function compare (one: WaitingGang, other: WaitingGang): number {
-  return one.queue.priority - other.queue.priority ||
+  return compareRanks(rankOf(one), rankOf(other)) ||
     Number(other.guaranteed) - Number(one.guaranteed) ||
-    Number(one.hopeless) - Number(other.hopeless) ||
     one.job.acceptedAt - other.job.acceptedAt ||
     (one.job.identifier < other.job.identifier ? -1 : Number(one.job.identifier > other.job.identifier)) ||
     one.key.step - other.key.step || one.key.gang - other.key.gang
 }
 
+/** Two infinite ranks are equal. */
+function compareRanks (one: number, other: number): number {
+  return one === other ? 0 : one - other
+}
+
+/** Work that is worth nothing any more runs when nothing else wants the room; urgent work keeps its place. */
+function rankOf ({ queue, hopeless }: WaitingGang): number {
+  return hopeless && queue.priority > 0 ? Infinity : queue.priority
+}
+
 /**
  * The time in which a job should be completed.
  * @param job - the job
--- a/src/core/steps/rooms.ts
+++ b/src/core/steps/rooms.ts
@@ -1,5 +1,6 @@
 /** The free room of each worker while placements are tried. */
 import { addResources, type Life, type Resources, type StepSpecification } from './model'
+import type { RunKey } from './run'
 import type { TaskPlacement } from './transactions'
 
 /** What one task needs of a worker. */
@@ -8,6 +9,8 @@
   readonly step: string
   /** Most tasks of the step on one worker; 0 for no limit. */
   readonly mostPerWorker: number
+  /** A stop loses the work done so far. */
+  readonly losesWork: boolean
 }
 
 /**
@@ -18,31 +21,37 @@
  * @returns the need
  */
 export function needOf (job: string, number: number, step: StepSpecification): TaskNeed {
-  const { processors, memoryMegabytes, accelerators, mostPerWorker } = step
-  return { step: `${job}.${number}`, processors, memoryMegabytes, accelerators, mostPerWorker }
+  const { processors, memoryMegabytes, accelerators, mostPerWorker, checkpoints } = step
+  return { step: `${job}.${number}`, processors, memoryMegabytes, accelerators, mostPerWorker, losesWork: !checkpoints }
 }
 
 /** Free room by incarnation; changed only through a copy that is kept or thrown away. */
 export class Rooms {
-  private constructor (private readonly free: Map<string, Resources>, private readonly tasks: Map<string, number>) {}
+  private constructor (
+    private readonly free: Map<string, Resources>, private readonly tasks: Map<string, number>, private readonly losing: Map<string, number>
+  ) {}
 
   /**
    * Measures the free room.
    * @param lives - the workers
+   * @param losesWork - the accelerators of a run whose work a stop would lose, 0 for others
    * @returns the room of each
    */
-  static of (lives: Iterable<Life>): Rooms {
-    const rooms = new Rooms(new Map(), new Map())
+  static of (lives: Iterable<Life>, losesWork: (key: RunKey) => number = () => 0): Rooms {
+    const rooms = new Rooms(new Map(), new Map(), new Map())
     for (const life of lives) {
       rooms.free.set(life.incarnation, addResources(life, life.used, -1))
-      for (const { job, step } of life.runs.values()) rooms.count(life.incarnation, `${job}.${step}`)
+      for (const key of life.runs.values()) {
+        rooms.count(life.incarnation, `${key.job}.${key.step}`)
+        rooms.losing.set(life.incarnation, rooms.lost(life.incarnation) + losesWork(key))
+      }
     }
     return rooms
   }
 
   /** A copy to try something on. */
   copy (): Rooms {
-    return new Rooms(new Map(this.free), new Map(this.tasks))
+    return new Rooms(new Map(this.free), new Map(this.tasks), new Map(this.losing))
   }
 
   /** The free room of a worker. */
@@ -50,6 +59,11 @@
     return this.free.get(incarnation) ?? none
   }
 
+  /** Accelerators there that are held by work which a stop would lose. */
+  lost (incarnation: string): number {
+    return this.losing.get(incarnation) ?? 0
+  }
+
   /** Whether one more task may run there. */
   holds (incarnation: string, need: TaskNeed): boolean {
     const free = this.of(incarnation)
@@ -61,6 +75,7 @@
   take (incarnation: string, need: TaskNeed): void {
     this.free.set(incarnation, addResources(this.of(incarnation), need, -1))
     this.count(incarnation, need.step)
+    if (need.losesWork) this.losing.set(incarnation, this.lost(incarnation) + need.accelerators)
   }
 
   /** Gives room back. */
@@ -107,12 +122,18 @@
   let least = Infinity
   for (const life of workers) {
     if (!rooms.holds(life.incarnation, need)) continue
-    const left = leftover(rooms.of(life.incarnation), life)
+    const left = leftover(rooms.of(life.incarnation), life) + MIXING_WEIGHT * (need.losesWork ? -1 : 1) * rooms.lost(life.incarnation)
     if (left < least) { best = life; least = left }
   }
   return best
 }
 
+/**
+ * Weight of the accelerators held by work that a stop would lose, against free ones: such work is put together, and work
+ * with checkpoints apart from it, so that stopping the latter frees whole workers.
+ */
+const MIXING_WEIGHT = 1.5
+
 /** Accelerators count first, then the scarcer of processors and memory. */
 function leftover (free: Resources, life: Life): number {
   const share = Math.min(free.processors / Math.max(1, life.processors), free.memoryMegabytes / Math.max(1, life.memoryMegabytes))
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,9 +1,9 @@
 /** One round of decisions on jobs of steps: what to stop, then what to start, in the order of the queue. */
-import { eligibleWorkers, mayUse, needsOneRack, rackGroups, type Choice } from './candidates'
-import { queueOfJob } from './jobs'
-import { noResources, StopReason, type Life, type StepJob, type StepState } from './model'
+import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
+import { noResources, StopReason, type Life, type StepState } from './model'
 import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
-import { needOf, placeTasks, Rooms } from './rooms'
+import { placeTasks, Rooms } from './rooms'
+import type { RunKey } from './run'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { giveStopping, planRoom, victimsFor, type RoomPlan } from './victims'
 import { watchRuns, type RunProgress } from './watch'
@@ -23,6 +23,11 @@
 /** Waiting time after which an urgent gang takes workers of several racks, in milliseconds; leaves most of the time to reclaim. */
 const URGENT_RACK_MILLISECONDS = 900
 
+/** Longest wait before work is lost for an urgent gang, in milliseconds: a third of the tightest bound to reclaim. */
+const RECLAIM_PATIENCE_MILLISECONDS = 800
+/** Share of its estimate that an urgent gang may wait: half of the slack that urgent queues leave. */
+const PATIENCE_SHARE = 0.25
+
 /**
  * Decides on jobs of steps.
  * @param state - the jobs of steps, with all proposed entries applied
@@ -31,22 +36,11 @@
  */
 export function scheduleSteps (state: StepState, view: FleetView): StepTransaction[] {
   if (state.open.size === 0) return []
-  const stops = view.complete ? watchRuns(state, { ...view, hasRoomElsewhere: (job, step, workers) => hasRoomElsewhere(state, view, job, step, workers) }) : []
+  const stops = view.complete ? watchRuns(state, view) : []
   if (stops.length > 0) return stops
   return Round.create(state, view).run()
 }
 
-/** Only workers that nobody suspects count. */
-function hasRoomElsewhere (state: StepState, view: FleetView, job: StepJob, number: number, workers: ReadonlySet<string>): boolean {
-  const step = job.specification.steps[number]
-  const gang = job.gangs[number]?.[0]
-  if (step === undefined || gang === undefined) return false
-  const queue = queueOfJob(state, job)
-  const lives = [...state.lives.values()].filter((life) => mayUse(life, queue, step, view) && !workers.has(life.incarnation) && !view.suspects.has(life.incarnation))
-  const tasks = Array.from({ length: gang.size }, (_, position) => position)
-  return placeTasks(needOf(job.identifier, number, step), tasks, lives, Rooms.of(lives)) !== undefined
-}
-
 /** A round under way: room that earlier gangs took is gone for later ones. */
 class Round {
   private readonly rooms: Rooms
@@ -57,7 +51,7 @@
   private readonly guaranteed: ReadonlySet<string>
 
   private constructor (private readonly state: StepState, private readonly view: FleetView) {
-    this.rooms = Rooms.of(state.lives.values())
+    this.rooms = Rooms.of(state.lives.values(), (key) => losingAccelerators(state, key))
     this.coming = this.rooms.copy()
     giveStopping(state, this.coming)
     this.guaranteed = guaranteedJobs(state)
@@ -123,8 +117,14 @@
     return true
   }
 
+  /** Room that becomes free by itself in a moment is worth more than work that would be lost. */
+  private isPatient ({ job, step }: WaitingGang, plan: RoomPlan): boolean {
+    const patience = Math.min(RECLAIM_PATIENCE_MILLISECONDS, step.estimateMilliseconds * PATIENCE_SHARE)
+    return plan.victims.some(({ losesWork }) => losesWork) && this.view.now - job.acceptedAt < patience
+  }
+
   private claim (waiting: WaitingGang, plan: RoomPlan): void {
-    for (const { job, step, gang, attempt, members, needs } of plan.victims) {
+    for (const { job, step, gang, attempt, members, needs } of this.isPatient(waiting, plan) ? [] : plan.victims) {
       const name = `${job}.${step}.${gang}`
       if (this.stopped.has(name)) continue
       this.stopped.add(name)
@@ -144,6 +144,11 @@
   return Array.from({ length: gang.size }, (_, position) => gang.first + position)
 }
 
+function losingAccelerators (state: StepState, { job, step: number }: RunKey): number {
+  const step = state.jobs.get(job)?.specification.steps[number]
+  return step === undefined || step.checkpoints ? 0 : step.accelerators
+}
+
 /** Gangs of one sort find room in the same places, so one that found none speaks for the rest. */
 function sortOf ({ key, gang, queue }: WaitingGang): string {
   return `${queue.name} ${key.job} ${key.step} ${gang.size}`
--- a/src/core/steps/victims.ts
+++ b/src/core/steps/victims.ts
@@ -8,6 +8,8 @@
 
 /** Work that one accelerator stands for, in thousandths of a processor. */
 const PROCESSORS_PER_ACCELERATOR = 8_000
+/** Share by which each earlier attempt raises a gang's cost, so that the same one is not stopped in turns. */
+const REPEATED_WEIGHT = 0.5
 /** Time that a task takes to go on from its checkpoint, in milliseconds. */
 const RESTORE_MILLISECONDS = 600
 
@@ -17,8 +19,9 @@
   readonly members: ReadonlyArray<{ readonly incarnation: string }>
   /** What each member holds. */
   readonly needs: StepSpecification
-  /** Work that would be lost, in processor-seconds. */
+  /** Work that would be lost, in processor-seconds; more for a gang that was stopped before. */
   readonly cost: number
+  readonly losesWork: boolean
 }
 
 /** Room made by stopping gangs. */
@@ -64,7 +67,8 @@
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
     if (!guaranteed && !step.checkpoints) return []
     const members = run.members.filter(({ ended }) => !ended)
-    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, needs: step, cost: lostWork(step, run, now) }]
+    const cost = lostWork(step, run, now) * (1 + REPEATED_WEIGHT * (run.attempt - 1))
+    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, needs: step, cost, losesWork: !step.checkpoints }]
   }))
 }
 
--- a/src/core/steps/watch.ts
+++ b/src/core/steps/watch.ts
@@ -19,8 +19,6 @@
   readonly progress: ReadonlyMap<string, RunProgress>
   /** Workers that are not heard of in time: their runs may go on, whatever was last heard of them. */
   readonly silent: ReadonlySet<string>
-  /** Whether another worker could take a task now. */
-  readonly hasRoomElsewhere: (job: StepJob, step: number, workers: ReadonlySet<string>) => boolean
 }
 
 /** Time in which every member of a run must be listed by its worker, in milliseconds; half of what a gang waits for its members. */
@@ -29,13 +27,6 @@
 const STALL_MILLISECONDS = 3_500
 /** Work left that a leaving worker is given the time to end, in milliseconds. */
 const LEAVING_MILLISECONDS = 2_500
-/** Time after which a run's pace says something, in milliseconds. */
-const PACE_MILLISECONDS = 1_500
-/** Times its estimate beyond which a run counts as slow: callers' estimates are up to twice too low. */
-const SLOW_ESTIMATES = 3.5
-/** Times its estimate that a run must still need, so that starting anew elsewhere is the sooner end. */
-const WORTH_MOVING_ESTIMATES = 1.8
-
 /**
  * Decides which runs are to be stopped where they are.
  * @param state - the jobs of steps
@@ -66,27 +57,13 @@
   if (seen.some((member) => member?.running !== true)) return view.now - run.startedAt > START_MILLISECONDS ? StopReason.Incomplete : undefined
   if (left.some(({ incarnation }) => view.silent.has(incarnation))) return undefined
   const members = seen as RunProgress[]
-  const workers = new Set(left.map(({ incarnation }) => incarnation))
-  const pace = paceOf(step, run.startedAt, members, view.now)
   if (members.length > 0 && members.every(({ changedAt }) => view.now - changedAt > STALL_MILLISECONDS)) return StopReason.Stalled
-  if (pace.slow && view.hasRoomElsewhere(job, number, workers)) return StopReason.Slow
   const leaves = left.some(({ incarnation }) => state.lives.get(incarnation)?.leaving === true)
-  return leaves && pace.leftMilliseconds >= (step.checkpoints ? LEAVING_MILLISECONDS / 2 : LEAVING_MILLISECONDS) ? StopReason.WorkerLeaving : undefined
-}
-
-interface Pace {
-  readonly leftMilliseconds: number
-  readonly slow: boolean
+  return leaves && !endsSoon(step, run.startedAt, members, view.now) ? StopReason.WorkerLeaving : undefined
 }
 
-/** Where a run gets to at the rate that it has had so far. */
-function paceOf (step: StepSpecification, startedAt: number, members: readonly RunProgress[], now: number): Pace {
+function endsSoon (step: StepSpecification, startedAt: number, members: readonly RunProgress[], now: number): boolean {
   const percent = Math.min(...members.map((member) => member.percent))
-  const elapsed = now - startedAt
-  if (percent <= 0 && elapsed < PACE_MILLISECONDS) return { leftMilliseconds: step.estimateMilliseconds, slow: false }
-  const leftMilliseconds = elapsed * (100 - percent) / Math.max(1, percent)
-  const { estimateMilliseconds } = step
-  const slow = estimateMilliseconds > 0 && elapsed >= PACE_MILLISECONDS &&
-    elapsed + leftMilliseconds > SLOW_ESTIMATES * estimateMilliseconds && leftMilliseconds > WORTH_MOVING_ESTIMATES * estimateMilliseconds
-  return { leftMilliseconds, slow }
+  const left = percent > 0 ? (now - startedAt) * (100 - percent) / percent : step.estimateMilliseconds
+  return left < (step.checkpoints ? LEAVING_MILLISECONDS / 2 : LEAVING_MILLISECONDS)
 }
--- /dev/null
+++ b/test/queue-client.test.ts
@@ -0,0 +1,70 @@
+import { createServer, type Server as NetServer } from 'node:net'
+import { Server, ServerCredentials, type UntypedServiceImplementation } from '@grpc/grpc-js'
+import { afterEach, expect, test } from 'vitest'
+import { Channels, KnownHosts, Leader, QueueClient, QueueOperation } from '../src/client'
+import { Verdict } from '../src/core/verdict'
+import { ConfirmReply, ControlService, QueueReply, Verdict as WireVerdict, type ConfirmRequest, type QueueRequest } from '../src/wire'
+
+type Unary<Request, Reply> = (call: { request: Request }, callback: (error: null, reply: Reply) => void) => void
+
+const silent = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
+const closers: Array<() => void> = []
+afterEach(() => { for (const close of closers.splice(0)) close() })
+
+/** A control host of the two calls that are asked here. */
+async function host (confirm: Unary<ConfirmRequest, ConfirmReply>, queue: Unary<QueueRequest, QueueReply>): Promise<string> {
+  const server = new Server()
+  const service = { confirm: ControlService.confirm, queue: ControlService.queue }
+  server.addService(service, { confirm, queue } as unknown as UntypedServiceImplementation)
+  const port = await new Promise<number>((resolve) => { server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (_error, bound) => { resolve(bound) }) })
+  closers.push(() => { server.forceShutdown() })
+  return `127.0.0.1:${port}`
+}
+
+/** A host that takes connections and says nothing, as one without power does. */
+async function darkHost (): Promise<string> {
+  const server: NetServer = createServer(() => {})
+  const port = await new Promise<number>((resolve) => { server.listen(0, '127.0.0.1', () => { resolve((server.address() as { port: number }).port) }) })
+  closers.push(() => { server.close() })
+  return `127.0.0.1:${port}`
+}
+
+function clientOf (hosts: readonly string[]): QueueClient {
+  const channels = Channels.create()
+  closers.push(() => { channels.close() })
+  return QueueClient.create(Leader.create(KnownHosts.create(hosts), channels, silent))
+}
+
+const refusal = { code: 'not-leader', message: '', verdict: WireVerdict.NOT_RUN, retryCanHelp: true, retryAfterMilliseconds: 10, leader: '', problems: [] }
+const call = { operation: QueueOperation.SUBMIT, host: 'h', path: '/q/1', key: 'k', job: { payload: '', steps: [] }, patienceMilliseconds: 3_000 }
+
+test('without a leader nothing is sent, and the refusal says so well before the caller gives up', async () => {
+  let sent = 0
+  const follower = await host((_call, callback) => { callback(null, { refusal }) }, () => { sent += 1 })
+  const began = performance.now()
+  const answer = await clientOf([await darkHost(), follower, await darkHost()]).ask(call)
+  expect(answer._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
+  expect(performance.now() - began).toBeLessThan(1_500)
+  expect(sent).toBe(0)
+})
+
+test('a dark host does not keep a request from the leader', async () => {
+  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, (_call, callback) => { callback(null, QueueReply.fromPartial({ state: 'queued' })) })
+  const answer = await clientOf([await darkHost(), await darkHost(), leader]).ask(call)
+  expect(answer._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
+})
+
+test('a request that may have arrived is never said not to have run', async () => {
+  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, () => {})
+  const answer = await clientOf([leader]).ask({ ...call, patienceMilliseconds: 1_000 })
+  expect(answer._unsafeUnwrapErr().verdict).toBe(Verdict.MayHaveRun)
+})
+
+test('a request that may have arrived is settled at the next leader', async () => {
+  let asked = 0
+  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, (_call, callback) => {
+    asked += 1
+    if (asked > 1) callback(null, QueueReply.fromPartial({ state: 'running' }))
+  })
+  expect((await clientOf([leader]).ask(call))._unsafeUnwrap().state).toBe('running')
+})
