Wait longer for one rack, and log the end of each job

Cause: gangs that ask for one rack were spread over several after 0.9 s, or one estimate; spread they take three times as long. Change: twice the estimate; 1.3 s where a guarantee binds. job-ended lines.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -261,6 +261,13 @@
     return decisions
   }
 
+  private logEnd (identifier: string): void {
+    const job = this.machine.committed.steps.jobs.get(identifier)
+    if (job === undefined) return
+    const runs = job.gangs.flat().reduce((sum, gang) => sum + gang.attempts, 0)
+    this.options.log('job-ended', { job: identifier, state: job.state, queue: job.queue.name, tookMilliseconds: job.endedAt - job.acceptedAt, runs, document: this.machine.committed.steps.document?.number })
+  }
+
   /** What is decided on a gang, with the inputs that a later reader lacks: its age and the document's number. */
   private logDecision (head: State, decision: Transaction): void {
     if (decision.kind !== StepTransactionKind.StartGang && decision.kind !== StepTransactionKind.StopGang) return
@@ -330,6 +337,8 @@
       if (job !== undefined) this.waiters.moved(job)
     } else if (effect.kind === EffectKind.ConfigurationChanged) {
       for (const section of effect.sections) changed.add(section)
+    } else if (effect.kind === EffectKind.StepJobEnded) {
+      this.logEnd(effect.job)
     } else if (agentKinds.has(effect.kind) && effect.kind !== EffectKind.Reserve) {
       this.agents.tell(effect as AgentEffect)
     }
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -17,7 +17,9 @@
   /** What a worker should run, or what is recorded of it, changed: tell its agent. */
   LifeChanged = 'life-changed',
   /** Another numbered document is in force. */
-  DocumentReplaced = 'document-replaced'
+  DocumentReplaced = 'document-replaced',
+  /** A job of steps has ended. */
+  StepJobEnded = 'step-job-ended'
 }
 
 /** An effect meant for the agent of one worker. */
@@ -50,5 +52,11 @@
   readonly number: number
 }
 
+/** A job of steps has ended. */
+export interface StepJobEnded {
+  readonly kind: EffectKind.StepJobEnded
+  readonly job: string
+}
+
 /** See {@link EffectKind}. */
-export type Effect = AgentEffect | JobMoved | ConfigurationChanged | LifeChanged | DocumentReplaced
+export type Effect = AgentEffect | JobMoved | ConfigurationChanged | LifeChanged | DocumentReplaced | StepJobEnded
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -81,6 +81,7 @@
   const gangs = job.gangs.map((step) => step.map((gang) => stoppedGang(draft, gang, reason)))
   setStepJob(draft, { ...job, state, endedAt: draft.at, gangs })
   draft.note({ kind: StepTransactionKind.EndRuns, account: job.account, job: job.identifier, state })
+  draft.effect({ kind: EffectKind.StepJobEnded, job: job.identifier })
 }
 
 /**
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -20,8 +20,10 @@
   readonly complete: boolean
 }
 
-/** Waiting time after which an urgent gang takes workers of several racks, in milliseconds; leaves most of the time to reclaim. */
-const URGENT_RACK_MILLISECONDS = 900
+/** Waiting time after which a guaranteed gang takes workers of several racks, in milliseconds; leaves half of the time to reclaim. */
+const GUARANTEED_RACK_MILLISECONDS = 1_300
+/** Times its estimate that a gang waits for one rack: spread over several it takes three times as long. */
+const RACK_PATIENCE = 2
 
 /** Longest wait before work is lost for an urgent gang, in milliseconds: a third of the tightest bound to reclaim. */
 const RECLAIM_PATIENCE_MILLISECONDS = 800
@@ -94,11 +96,11 @@
 
   /** Racks first; all workers only where no rack could ever hold the gang, or where it has waited too long for one. */
   private groups (waiting: WaitingGang, workers: readonly Life[]): Life[][] {
-    const { step, job, queue } = waiting
+    const { step, job, guaranteed } = waiting
     const groups = rackGroups(step, workers)
     if (groups.length <= 1 && step.dataRack === '') return groups
     const waited = this.view.now - job.acceptedAt
-    const patience = queue.priority === 0 ? URGENT_RACK_MILLISECONDS : step.estimateMilliseconds
+    const patience = guaranteed ? GUARANTEED_RACK_MILLISECONDS : step.estimateMilliseconds * RACK_PATIENCE
     const hopeless = needsOneRack(step) && !groups.some((group) => placeTasks(waiting.need, tasksOf(waiting), group, emptyRooms(group)) !== undefined)
     return hopeless || waited > patience ? [...groups, [...workers]] : groups
   }
