--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -16,7 +16,7 @@
 export type SupervisorCall = ServerDuplexStream<wire.WorkerReport, wire.WorkerOrders>
 
 /** A worker that was not heard of for so long gets no new work, in milliseconds: more than two reports are missing. */
-const SILENT_MILLISECONDS = 1_300
+const SILENT_MILLISECONDS = 1_100
 /** Rate by which a worker's clock may be slow against this host's, as the platform states it, with a margin for this host's own. */
 const CLOCK_DRIFT = 1.025
 /** Time that a lease is over before its worker counts as gone, in milliseconds: the worker needs it to end its tasks. */
@@ -24,6 +24,9 @@
 /** Time after which a new leader has heard from every agent that can reach it, in milliseconds: three reports. */
 const COMPLETE_MILLISECONDS = 1_600
 
+/** Ends after which a worker is suspected: it failed a run, or would not take one. */
+const speakAgainst: ReadonlySet<RunOutcome> = new Set([RunOutcome.Failed, RunOutcome.NotStarted])
+
 /** How the streams reach the leader. */
 export interface SupervisorPorts {
   readonly head: () => State
@@ -243,7 +246,7 @@
   }
 
   private judge (incarnation: string, outcome: RunOutcome): void {
-    if (outcome === RunOutcome.Failed) this.trust.failed(incarnation, this.ports.now())
+    if (speakAgainst.has(outcome)) this.trust.failed(incarnation, this.ports.now())
     if (outcome === RunOutcome.Done) this.trust.succeeded(incarnation)
   }
 
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -34,6 +34,8 @@
   expect((await bench.call('POST', '00000000000000b1', job('1'), undefined, 'other.example')).status).toBe(404)
   expect((await bench.call('POST', '00000000000000b1', '{"spec":')).status).toBe(400)
   expect((await bench.call('POST', '00000000000000b1', job('1', { count: 'x' }))).status).toBe(400)
+  expect((await bench.call('POST', '00000000000000b1', job('1', { long_running: true }))).status).toBe(400)
+  expect((await bench.call('POST', '00000000000000b1', { ...job('1'), repeats: 3 })).status).toBe(400)
   expect(await bench.call('GET', '')).toEqual({ status: 200, body: { pending: 0 } })
   expect(bench.worker.witness.starts).toEqual([])
 })
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -136,6 +136,13 @@
   expect([...leader.supervisors.view().suspects]).toEqual([])
 })
 
+test('a worker that would not take a run is suspected too', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  await leader.report({ ends: [{ number: 0, key: { job: 'j', step: 0, task: 0, attempt: 1 }, outcome: RunOutcome.NotStarted }] })
+  expect([...leader.supervisors.view().suspects]).toEqual(['a@1'])
+})
+
 test('a worker that is not heard of gets no new work', async () => {
   await leader.report()
   expect([...leader.supervisors.view().silent]).toEqual([])
