Serve metrics of decisions on jobs of steps, with one line for each start and stop

Cause: whoever is on call could not see from outside why urgent work started late or what was stopped. Change: counters and histograms by reason and priority, gauges of workers and documents, on the address of the deploy file; lines carry term, document, estimate and progress. No identifiers in labels.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, StopReason, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
+  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, StopReason, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StartGang, type State, type StopGang, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
@@ -86,6 +86,20 @@
   return toWireRefusal({ ...notRun(code, `members were not changed: ${error.refusal}`, MEMBERS_RETRY_MILLISECONDS), verdict }, error.leader)
 }
 
+/** What a decision on a gang was made from, for the log. */
+interface GangInputs {
+  readonly job: string
+  readonly step: number
+  readonly attempt: number
+  readonly queue: string
+  readonly priority: number
+  readonly waitedMilliseconds: number
+  readonly estimateMilliseconds: number
+  /** Number of the document in force. */
+  readonly document: number
+  readonly term: number
+}
+
 interface CountedRefusal {
   readonly account: string
   readonly code: string
@@ -110,7 +124,11 @@
     openJobs: () => this.machine.committed.open.size,
     queuedJobs: () => this.machine.committed.queued.size,
     presentWorkers: () => this.machine.committed.workers.count((worker) => worker.present),
-    brokenGuarantees: () => guaranteeStatus(this.machine.committed).reduce((sum, { missing }) => sum + missing, 0)
+    brokenGuarantees: () => guaranteeStatus(this.machine.committed).reduce((sum, { missing }) => sum + missing, 0),
+    openStepJobs: () => this.machine.committed.steps.open.size,
+    supervisedWorkers: () => this.machine.committed.steps.lives.size,
+    silentWorkers: () => this.machine.leads ? this.supervisors.view().silent.size : 0,
+    documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
 
   private readonly refusals = new Map<string, CountedRefusal>()
@@ -249,6 +267,7 @@
   }
 
   private beginLeading (): void {
+    this.metrics.began()
     this.clock.begin(this.machine.committed.time)
     this.agents.begin(this.clock.now())
     this.supervisors.begin()
@@ -270,18 +289,39 @@
 
   /** What is decided on a gang, with the inputs that a later reader lacks: its age and the document's number. */
   private logDecision (head: State, decision: Transaction): void {
-    if (decision.kind !== StepTransactionKind.StartGang && decision.kind !== StepTransactionKind.StopGang) return
-    const { job, step, attempt } = decision
+    if (decision.kind === StepTransactionKind.StartGang) this.logStart(head, decision)
+    if (decision.kind === StepTransactionKind.StopGang) this.logStop(head, decision)
+  }
+
+  private logStart (head: State, decision: StartGang): void {
+    const inputs = this.inputsOf(head, decision)
+    this.metrics.gangStarted(inputs.priority, decision.attempt, inputs.waitedMilliseconds)
+    this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
+  }
+
+  private logStop (head: State, decision: StopGang): void {
+    const { job, step, gang, attempt, reason } = decision
+    const run = head.steps.jobs.get(job)?.gangs[step]?.[gang]?.run
+    const workers = run?.members.map(({ incarnation }) => incarnation) ?? []
+    this.metrics.gangStopped(reason)
+    if (heldUpReasons.has(reason)) this.supervisors.gaveUp(workers)
+    const percents = this.supervisors.percentsOf({ job, step, attempt }, run?.members.map(({ task }) => task) ?? [])
+    this.options.log('gang-stopped', { ...this.inputsOf(head, decision), reason, workers, percents, runMilliseconds: this.clock.now() - (run?.startedAt ?? 0) })
+  }
+
+  private inputsOf (head: State, { job, step, attempt }: StartGang | StopGang): GangInputs {
     const found = head.steps.jobs.get(job)
-    const inputs = { job, step, attempt, queue: found?.queue.name, waitedMilliseconds: this.clock.now() - (found?.acceptedAt ?? 0), document: head.steps.document?.number }
-    if (decision.kind === StepTransactionKind.StopGang) {
-      const workers = found?.gangs[step]?.[decision.gang]?.run?.members.map(({ incarnation }) => incarnation) ?? []
-      if (heldUpReasons.has(decision.reason)) this.supervisors.gaveUp(workers)
-      const percents = this.supervisors.percentsOf({ job, step, attempt }, found?.gangs[step]?.[decision.gang]?.run?.members.map(({ task }) => task) ?? [])
-      const runMilliseconds = this.clock.now() - (found?.gangs[step]?.[decision.gang]?.run?.startedAt ?? 0)
-      this.options.log('gang-stopped', { ...inputs, reason: decision.reason, workers, percents, runMilliseconds, estimateMilliseconds: found?.specification.steps[step]?.estimateMilliseconds })
+    return {
+      job,
+      step,
+      attempt,
+      queue: found?.queue.name ?? '',
+      priority: found?.queue.priority ?? 0,
+      waitedMilliseconds: this.clock.now() - (found?.acceptedAt ?? 0),
+      estimateMilliseconds: found?.specification.steps[step]?.estimateMilliseconds ?? 0,
+      document: head.steps.document?.number ?? 0,
+      term: this.term
     }
-    if (decision.kind === StepTransactionKind.StartGang) this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
   }
 
   private async confirm (): Promise<boolean> {
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -11,9 +11,14 @@
   readonly queuedJobs: () => number
   readonly presentWorkers: () => number
   readonly brokenGuarantees: () => number
+  readonly openStepJobs: () => number
+  readonly supervisedWorkers: () => number
+  readonly silentWorkers: () => number
+  readonly documentNumber: () => number
 }
 
 const MILLISECONDS_PER_SECOND = 1_000
+const START_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 30, 60]
 const COMMIT_BUCKETS_SECONDS = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1]
 
 const help: { readonly [name in keyof ControlGauges]: string } = {
@@ -24,7 +29,11 @@
   openJobs: 'Jobs that have not ended or still hold something',
   queuedJobs: 'Jobs that wait',
   presentWorkers: 'Workers whose lease holds',
-  brokenGuarantees: 'Guaranteed shapes that have no home'
+  brokenGuarantees: 'Guaranteed shapes that have no home',
+  openStepJobs: 'Jobs of steps that have not ended or still hold something',
+  supervisedWorkers: 'Incarnations of workers that run tasks of jobs of steps',
+  silentWorkers: 'Those of them that were not heard of in time',
+  documentNumber: 'Number of the numbered document in force'
 }
 
 /** The metrics of a control host, in the text form of Prometheus. */
@@ -38,6 +47,20 @@
     name: 'bramleyflow_control_refusals_total', help: 'Jobs refused, by code', labelNames: ['code'], registers: [this.registry]
   })
 
+  private readonly gangsStarted = new Counter({
+    name: 'bramleyflow_control_gangs_started_total', help: 'Runs of gangs started', registers: [this.registry]
+  })
+
+  private readonly gangsStopped = new Counter({
+    name: 'bramleyflow_control_gangs_stopped_total', help: 'Runs of gangs stopped, by reason', labelNames: ['reason'], registers: [this.registry]
+  })
+
+  private readonly firstStarts = new Histogram({
+    name: 'bramleyflow_control_first_start_seconds', help: 'Time from acceptance to the first start of a gang', labelNames: ['priority'], buckets: START_BUCKETS_SECONDS, registers: [this.registry]
+  })
+
+  private readonly termsLed = new Counter({ name: 'bramleyflow_control_terms_led_total', help: 'Times that this host began to lead', registers: [this.registry] })
+
   private server?: Server
 
   private constructor (gauges: ControlGauges) {
@@ -63,6 +86,22 @@
     this.refused.inc({ code })
   }
 
+  /** Counts a start of a gang; the delay is from its job's acceptance, in milliseconds. */
+  gangStarted (priority: number, attempt: number, delayMilliseconds: number): void {
+    this.gangsStarted.inc()
+    if (attempt === 1) this.firstStarts.observe({ priority }, delayMilliseconds / MILLISECONDS_PER_SECOND)
+  }
+
+  /** Counts a stop of a gang. */
+  gangStopped (reason: string): void {
+    this.gangsStopped.inc({ reason })
+  }
+
+  /** Counts the begin of leadership. */
+  began (): void {
+    this.termsLed.inc()
+  }
+
   /** Serves /metrics at an address; rejects where it cannot be bound. */
   listen (address: string): Promise<void> {
     const separator = address.lastIndexOf(':')
--- a/src/settings/deployment.ts
+++ b/src/settings/deployment.ts
@@ -10,6 +10,8 @@
 
 /** Time kept back from the platform's grace for closing sockets and files. */
 const STOP_MARGIN_SECONDS = 2.5
+/** Where a deployed control host serves its metrics; `deploy/system.toml` names the same port. */
+const CONTROL_METRICS_PORT = 9_464
 /** Share of the disk that the audit record may take; log and snapshots get the rest. */
 const RECORD_SHARE = 0.25
 const BYTES_PER_MEGABYTE = 1_048_576
@@ -26,7 +28,7 @@
   const filled: Settings = { ...settings, controlHosts }
   if (roles.includes(Role.Entry)) filled.entry ??= { address: inner(deployment, InnerPort.Entry), stopDeadlineSeconds: stopSeconds(deployment), openRequestsPerAccount: 1_000 }
   if (roles.includes(Role.Control) && deployment.folder !== undefined) {
-    filled.control ??= { address: inner(deployment, InnerPort.Control), folder: deployment.folder, voters: controlHosts }
+    filled.control ??= { address: inner(deployment, InnerPort.Control), folder: deployment.folder, voters: controlHosts, metrics: `${deployment.ip}:${CONTROL_METRICS_PORT}` }
   }
   return filled
 }
