Name only a deployment's own faults; give the log of decisions a file

Cause: settings with a faulty section deployment were also blamed for lacking a section entry, which is derived from it; host.ts had grown past one idea. Change: derived sections are not asked for; DecisionLog.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,12 +1,13 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, StepTransactionKind, StopReason, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StartGang, type State, type StopGang, type Transaction
+  decide, decodeState, EffectKind, encodeStateInPieces, guaranteeStatus, notRun, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, refusalMessage, type AgentCall } from './agents'
 import { controlCalls, type CallPorts } from './calls'
 import { notLeaderRefusal, toWireRefusal } from './convert'
+import { DecisionLog } from './decision-log'
 import { CONFIRM_MILLISECONDS, Followers, type FollowerCall } from './followers'
 import { LeaderClock } from './leader-clock'
 import { Machine, recordLines } from './machine'
@@ -59,9 +60,6 @@
 /** Time between two entries that count refusals, in milliseconds. */
 const REFUSALS_MILLISECONDS = 1_000
 
-/** Stops that speak against the workers. */
-const heldUpReasons: ReadonlySet<StopReason> = new Set([StopReason.Stalled])
-
 const agentKinds: ReadonlySet<EffectKind> = new Set([
   EffectKind.Reserve, EffectKind.Release, EffectKind.Start, EffectKind.Stop, EffectKind.Acknowledge
 ])
@@ -86,20 +84,6 @@
   return toWireRefusal({ ...notRun(code, `members were not changed: ${error.refusal}`, MEMBERS_RETRY_MILLISECONDS), verdict }, error.leader)
 }
 
-/** What a decision on a gang was made from, for the log. */
-interface GangInputs {
-  readonly job: string
-  readonly step: number
-  readonly attempt: number
-  readonly queue: string
-  readonly priority: number
-  readonly waitedMilliseconds: number
-  readonly estimateMilliseconds: number
-  /** Number of the document in force. */
-  readonly document: number
-  readonly term: number
-}
-
 interface CountedRefusal {
   readonly account: string
   readonly code: string
@@ -114,6 +98,7 @@
   private readonly agents: Agents
   private readonly supervisors: Supervisors
   private readonly followers: Followers
+  private readonly decisionLog: DecisionLog
   private readonly clock = LeaderClock.create()
   private readonly waiters = Waiters.create()
   private readonly metrics = ControlMetrics.create({
@@ -162,6 +147,7 @@
       controlHosts: () => this.controlHosts(),
       leaseMilliseconds: options.workerLeaseMilliseconds ?? WORKER_LEASE_MILLISECONDS
     })
+    this.decisionLog = DecisionLog.create({ supervisors: this.supervisors, metrics: this.metrics, ...state })
     this.followers = Followers.create(state.committed, state.term, () => this.controlHosts())
   }
 
@@ -276,54 +262,10 @@
   private decide (head: State): readonly Transaction[] {
     const now = this.clock.now()
     const decisions = decide(head, { now, silent: this.agents.silent(now), fleet: this.supervisors.view() })
-    for (const decision of decisions) this.logDecision(head, decision)
+    for (const decision of decisions) this.decisionLog.decided(head, decision)
     return decisions
   }
 
-  private logEnd (identifier: string): void {
-    const job = this.machine.committed.steps.jobs.get(identifier)
-    if (job === undefined) return
-    const runs = job.gangs.flat().reduce((sum, gang) => sum + gang.attempts, 0)
-    this.options.log('job-ended', { job: identifier, state: job.state, queue: job.queue.name, tookMilliseconds: job.endedAt - job.acceptedAt, runs, document: this.machine.committed.steps.document?.number })
-  }
-
-  /** What is decided on a gang, with the inputs that a later reader lacks: its age and the document's number. */
-  private logDecision (head: State, decision: Transaction): void {
-    if (decision.kind === StepTransactionKind.StartGang) this.logStart(head, decision)
-    if (decision.kind === StepTransactionKind.StopGang) this.logStop(head, decision)
-  }
-
-  private logStart (head: State, decision: StartGang): void {
-    const inputs = this.inputsOf(head, decision)
-    this.metrics.gangStarted(inputs.priority, decision.attempt, inputs.waitedMilliseconds)
-    this.options.log('gang-started', { ...inputs, workers: decision.placements.map(({ incarnation }) => incarnation) })
-  }
-
-  private logStop (head: State, decision: StopGang): void {
-    const { job, step, gang, attempt, reason } = decision
-    const run = head.steps.jobs.get(job)?.gangs[step]?.[gang]?.run
-    const workers = run?.members.map(({ incarnation }) => incarnation) ?? []
-    this.metrics.gangStopped(reason)
-    if (heldUpReasons.has(reason)) this.supervisors.gaveUp(workers)
-    const percents = this.supervisors.percentsOf({ job, step, attempt }, run?.members.map(({ task }) => task) ?? [])
-    this.options.log('gang-stopped', { ...this.inputsOf(head, decision), reason, workers, percents, runMilliseconds: this.clock.now() - (run?.startedAt ?? 0) })
-  }
-
-  private inputsOf (head: State, { job, step, attempt }: StartGang | StopGang): GangInputs {
-    const found = head.steps.jobs.get(job)
-    return {
-      job,
-      step,
-      attempt,
-      queue: found?.queue.name ?? '',
-      priority: found?.queue.priority ?? 0,
-      waitedMilliseconds: this.clock.now() - (found?.acceptedAt ?? 0),
-      estimateMilliseconds: found?.specification.steps[step]?.estimateMilliseconds ?? 0,
-      document: head.steps.document?.number ?? 0,
-      term: this.term
-    }
-  }
-
   private async confirm (): Promise<boolean> {
     return (await this.replica.confirmLeadership()).isOk()
   }
@@ -378,7 +320,7 @@
     } else if (effect.kind === EffectKind.ConfigurationChanged) {
       for (const section of effect.sections) changed.add(section)
     } else if (effect.kind === EffectKind.StepJobEnded) {
-      this.logEnd(effect.job)
+      this.decisionLog.ended(this.machine.committed, effect.job)
     } else if (agentKinds.has(effect.kind) && effect.kind !== EffectKind.Reserve) {
       this.agents.tell(effect as AgentEffect)
     }
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -35,8 +35,10 @@
 }
 
 function roleProblems (settings: Pick<Settings, 'roles' | 'deployment'> & { readonly [section in Role]?: unknown }): Problem[] {
+  // A deployment's sections are derived from what it says.
+  if (settings.deployment !== undefined) return []
   return Object.values(Role)
-    .filter((role) => settings.roles.includes(role) && settings[role] === undefined && !(role !== Role.Entry && settings.deployment !== undefined))
+    .filter((role) => settings.roles.includes(role) && settings[role] === undefined)
     .map((role) => ({ path: `/${role}`, value: 'nothing', expected: `a section ${role}, because the roles name it` }))
 }
 
--- /dev/null
+++ b/test/known-hosts.test.ts
@@ -0,0 +1,31 @@
+import { afterEach, expect, test, vi } from 'vitest'
+import { KnownHosts } from '../src/client'
+import { LeaderClock } from '../src/control/leader-clock'
+
+afterEach(() => { vi.useRealTimers() })
+
+test('hosts that a leader named come first, seeds stay, and a silent host is tried last', () => {
+  const hosts = KnownHosts.create(['a', 'b'])
+  hosts.learn(['c', 'b'])
+  hosts.learn([])
+  expect(hosts.all).toEqual(['c', 'b', 'a'])
+  hosts.putLast('c')
+  expect(hosts.present).toBe('b')
+  hosts.advance()
+  hosts.advance()
+  expect(hosts.present).toBe('c')
+  hosts.reseed(['d'])
+  expect(hosts.all).toEqual(['c', 'b', 'd'])
+})
+
+test('the leader\'s time goes on steadily whatever the time of day does, and never before the log\'s', () => {
+  vi.useFakeTimers({ toFake: ['performance', 'Date'], now: 1_000_000 })
+  const clock = LeaderClock.create()
+  clock.begin(1_005_000)
+  expect(clock.now()).toBe(1_005_000)
+  vi.advanceTimersByTime(250)
+  vi.setSystemTime(9_000_000)
+  expect(clock.now()).toBe(1_005_250)
+  clock.begin(0)
+  expect(clock.now()).toBe(9_000_000)
+})
