Do not take a worker that comes late for one whose lease is over

Ruled out: cuts (silentMilliseconds is a few tens). Change: an announced incarnation has a whole lease to get its first grant. The test fails without it.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -6,7 +6,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
   RunOutcome, runName, StepTransactionKind, Trust,
-  type FleetView, type Life, type RunEnd, type RunKey, type State, type StepTransaction
+  type FleetView, type Life, type LifeDescription, type RunEnd, type RunKey, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { notLeaderRefusal } from './convert'
@@ -216,10 +216,16 @@
     for (const other of lives.values()) if (other.host === host && other.incarnation !== life.incarnation) this.lose(other.incarnation)
     const { leaving, ...description } = life
     const known = lives.get(life.incarnation)
-    if (known === undefined) this.submit({ kind: StepTransactionKind.AnnounceLife, at: this.ports.now(), life: { host, ...description } })
+    if (known === undefined) this.announce({ host, ...description })
     if (leaving && known?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveLife, at: this.ports.now(), incarnation: life.incarnation })
   }
 
+  /** It is given the time of a whole lease to get its first one. */
+  private announce (life: LifeDescription): void {
+    this.goneAt.set(life.incarnation, performance.now() + this.longestLease)
+    this.submit({ kind: StepTransactionKind.AnnounceLife, at: this.ports.now(), life })
+  }
+
   private lose (incarnation: string): void {
     if (this.ports.head().steps.lives.has(incarnation)) this.submit(this.loss(incarnation))
   }
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -149,3 +149,11 @@
   await vi.advanceTimersByTimeAsync(1_400)
   expect([...leader.supervisors.view().silent]).toEqual(['a@1'])
 })
+
+test('a worker that comes long after the leader began is not taken for one whose lease is over', async () => {
+  await vi.advanceTimersByTimeAsync(60_000)
+  leader.confirmed = false
+  await leader.report({ host: 'host-b', life: { ...worker('b'), labels: [] } })
+  expect(leader.world.state.steps.lives.has('b@1')).toBe(true)
+  expect(leader.supervisors.overdue().map((transaction) => (transaction as { incarnation: string }).incarnation)).toEqual(['a@1'])
+})
