--- a/src/core/steps/rooms.ts
+++ b/src/core/steps/rooms.ts
@@ -66,9 +66,12 @@
 
   /** Whether one more task may run there. */
   holds (incarnation: string, need: TaskNeed): boolean {
-    const free = this.of(incarnation)
-    if (need.mostPerWorker > 0 && (this.tasks.get(`${incarnation} ${need.step}`) ?? 0) >= need.mostPerWorker) return false
-    return need.processors <= free.processors && need.memoryMegabytes <= free.memoryMegabytes && need.accelerators <= free.accelerators
+    return this.allows(incarnation, need) && fitsInto(this.of(incarnation), need)
+  }
+
+  /** Whether the limit of tasks on one worker leaves room for one more. */
+  allows (incarnation: string, { step, mostPerWorker }: TaskNeed): boolean {
+    return mostPerWorker === 0 || (this.tasks.get(`${incarnation} ${step}`) ?? 0) < mostPerWorker
   }
 
   /** Takes room for one task; negative room means that it is not free yet. */
@@ -78,22 +81,34 @@
     if (need.losesWork) this.losing.set(incarnation, this.lost(incarnation) + need.accelerators)
   }
 
+  /** Takes one task back that was taken in a trial. */
+  undo (incarnation: string, need: TaskNeed): void {
+    this.give(incarnation, need)
+    this.count(incarnation, need.step, -1)
+    if (need.losesWork) this.losing.set(incarnation, this.lost(incarnation) - need.accelerators)
+  }
+
   /** Gives room back. */
   give (incarnation: string, released: Resources): void {
     this.free.set(incarnation, addResources(this.of(incarnation), released))
   }
 
-  /** Takes room that was given back in a trial. */
-  takeBack (incarnation: string, released: Resources): void {
-    this.free.set(incarnation, addResources(this.of(incarnation), released, -1))
-  }
-
-  private count (incarnation: string, step: string): void {
+  private count (incarnation: string, step: string, by = 1): void {
     const name = `${incarnation} ${step}`
-    this.tasks.set(name, (this.tasks.get(name) ?? 0) + 1)
+    this.tasks.set(name, (this.tasks.get(name) ?? 0) + by)
   }
 }
 
+/**
+ * Tells whether a task fits.
+ * @param free - free room
+ * @param needed - what the task holds
+ * @returns true where nothing is exceeded
+ */
+export function fitsInto (free: Resources, needed: Resources): boolean {
+  return needed.processors <= free.processors && needed.memoryMegabytes <= free.memoryMegabytes && needed.accelerators <= free.accelerators
+}
+
 const none: Resources = { processors: -1, memoryMegabytes: -1, accelerators: -1 }
 
 /**
@@ -105,15 +120,16 @@
  * @returns a worker for each task, or nothing where they do not all fit
  */
 export function placeTasks (need: TaskNeed, tasks: readonly number[], workers: readonly Life[], rooms: Rooms): TaskPlacement[] | undefined {
-  const trial = rooms.copy()
   const placements: TaskPlacement[] = []
   for (const task of tasks) {
-    const chosen = tightest(need, workers, trial)
-    if (chosen === undefined) return undefined
-    trial.take(chosen.incarnation, need)
+    const chosen = tightest(need, workers, rooms)
+    if (chosen === undefined) {
+      for (const { incarnation } of placements) rooms.undo(incarnation, need)
+      return undefined
+    }
+    rooms.take(chosen.incarnation, need)
     placements.push({ task, incarnation: chosen.incarnation })
   }
-  for (const { incarnation } of placements) rooms.take(incarnation, need)
   return placements
 }
 
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -50,6 +50,8 @@
   private readonly coming: Rooms
   private readonly decisions: StepTransaction[] = []
   private readonly stopped = new Set<string>()
+  /** Eligible workers by service and label. */
+  private readonly workers = new Map<string, Life[]>()
   private readonly guaranteed: ReadonlySet<string>
 
   private constructor (private readonly state: StepState, private readonly view: FleetView) {
@@ -67,7 +69,7 @@
     const waiting = waitingGangs(this.state, this.guaranteed, this.view.now)
     const refused = new Set<string>()
     for (const gang of waiting) {
-      const sort = sortOf(gang)
+      const sort = this.sortOf(gang)
       if (refused.has(sort)) continue
       if (!this.start(gang) && !this.makeRoom(gang)) refused.add(sort)
     }
@@ -75,7 +77,7 @@
   }
 
   private start (waiting: WaitingGang): boolean {
-    const workers = eligibleWorkers(this.state, waiting, this.view)
+    const workers = this.eligible(waiting)
     const placements = this.place(waiting, workers)
     if (placements === undefined) return false
     const { key, gang, need } = waiting
@@ -96,19 +98,37 @@
 
   /** Racks first; all workers only where no rack could ever hold the gang, or where it has waited too long for one. */
   private groups (waiting: WaitingGang, workers: readonly Life[]): Life[][] {
-    const { step, job, guaranteed } = waiting
+    const { step } = waiting
     const groups = rackGroups(step, workers)
     if (groups.length <= 1 && step.dataRack === '') return groups
-    const waited = this.view.now - job.acceptedAt
-    const patience = guaranteed ? GUARANTEED_RACK_MILLISECONDS : step.estimateMilliseconds * RACK_PATIENCE
     const hopeless = needsOneRack(step) && !groups.some((group) => placeTasks(waiting.need, tasksOf(waiting), group, emptyRooms(group)) !== undefined)
-    return hopeless || waited > patience ? [...groups, [...workers]] : groups
+    return hopeless || this.mayBeSpread(waiting) ? [...groups, [...workers]] : groups
+  }
+
+  private mayBeSpread ({ step, job, guaranteed }: WaitingGang): boolean {
+    const patience = guaranteed ? GUARANTEED_RACK_MILLISECONDS : step.estimateMilliseconds * RACK_PATIENCE
+    return this.view.now - job.acceptedAt > patience
+  }
+
+  private eligible (waiting: WaitingGang): Life[] {
+    const key = `${waiting.queue.service} ${waiting.step.label}`
+    const known = this.workers.get(key) ?? eligibleWorkers(this.state, waiting, this.view)
+    this.workers.set(key, known)
+    return known
+  }
+
+  /** Gangs of one sort find room in the same places, and room only shrinks in a round: one that found none speaks for the rest. */
+  private sortOf (waiting: WaitingGang): string {
+    const { key, gang, queue, step, need, guaranteed } = waiting
+    const place = [queue.service, queue.priority, guaranteed, step.label, step.dataRack, needsOneRack(step), this.mayBeSpread(waiting)]
+    const own = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
+    return [...place, gang.size, need.processors, need.memoryMegabytes, need.accelerators, need.losesWork, own].join(' ')
   }
 
   /** Stops what may be stopped for an urgent gang, and keeps its room from all that come later in the order. */
   private makeRoom (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
-    const workers = eligibleWorkers(this.state, waiting, this.view)
+    const workers = this.eligible(waiting)
     const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
     const plans = this.groups(waiting, workers)
       .map((group) => planRoom(waiting, group, victims, this.coming))
@@ -151,11 +171,6 @@
   return step === undefined || step.checkpoints ? 0 : step.accelerators
 }
 
-/** Gangs of one sort find room in the same places, so one that found none speaks for the rest. */
-function sortOf ({ key, gang, queue }: WaitingGang): string {
-  return `${queue.name} ${key.job} ${key.step} ${gang.size}`
-}
-
 function emptyRooms (workers: readonly Life[]): Rooms {
   return Rooms.of(workers.map((life) => ({ ...life, used: noResources, runs: life.runs.clear() })))
 }
--- a/src/core/steps/victims.ts
+++ b/src/core/steps/victims.ts
@@ -1,8 +1,8 @@
 /** What is stopped so that a gang of a higher priority can start: as little lost work as possible. */
 import { queueOfJob } from './jobs'
-import type { GangRun, Life, Resources, StepJob, StepSpecification, StepState } from './model'
+import { addResources, noResources, type GangRun, type Life, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './order'
-import type { Rooms, TaskNeed } from './rooms'
+import { fitsInto, type Rooms, type TaskNeed } from './rooms'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
 
@@ -112,10 +112,11 @@
   const placements: TaskPlacement[] = []
   const { need, gang } = waiting
   for (let task = gang.first; task < gang.first + gang.size; task++) {
-    const options = workers
-      .map(({ incarnation }) => cheapestOn(incarnation, need, victims.get(incarnation) ?? [], stopped, trial))
-      .filter((option): option is WorkerOption => option !== undefined)
-    const best = options.sort((one, other) => one.cost - other.cost || one.left - other.left)[0]
+    let best: WorkerOption | undefined
+    for (const { incarnation } of workers) {
+      const option = cheapestOn(incarnation, need, victims.get(incarnation) ?? [], stopped, trial)
+      if (option !== undefined && (best === undefined || option.cost < best.cost || (option.cost === best.cost && option.left < best.left))) best = option
+    }
     if (best === undefined) return undefined
     for (const victim of best.victims) {
       stopped.add(victim)
@@ -136,27 +137,28 @@
 
 /** The cheapest victims first, until one task fits; then those that turn out not to be needed are let off. */
 function cheapestOn (incarnation: string, need: TaskNeed, candidates: readonly Victim[], stopped: ReadonlySet<Victim>, rooms: Rooms): WorkerOption | undefined {
-  const trial = rooms.copy()
+  if (!rooms.allows(incarnation, need)) return undefined
+  let free = rooms.of(incarnation)
+  const left = free.accelerators
   const chosen: Victim[] = []
-  const give = (victim: Victim, sign: 1 | -1): void => {
-    for (const member of victim.members) {
-      if (member.incarnation !== incarnation) continue
-      if (sign > 0) trial.give(incarnation, victim.needs)
-      else trial.takeBack(incarnation, victim.needs)
+  if (!fitsInto(free, need)) {
+    for (const victim of candidates.filter((candidate) => !stopped.has(candidate)).sort((one, other) => one.cost - other.cost)) {
+      if (fitsInto(free, need)) break
+      free = addResources(free, heldOn(incarnation, victim))
+      chosen.push(victim)
     }
   }
-  const free = candidates.filter((victim) => !stopped.has(victim)).sort((one, other) => one.cost - other.cost)
-  for (const victim of free) {
-    if (trial.holds(incarnation, need)) break
-    give(victim, 1)
-    chosen.push(victim)
-  }
-  if (!trial.holds(incarnation, need)) return undefined
-  const needed = chosen.filter((victim) => {
-    give(victim, -1)
-    if (trial.holds(incarnation, need)) return false
-    give(victim, 1)
-    return true
+  if (!fitsInto(free, need)) return undefined
+  const victims = chosen.filter((victim) => {
+    const without = addResources(free, heldOn(incarnation, victim), -1)
+    if (!fitsInto(without, need)) return true
+    free = without
+    return false
   })
-  return { incarnation, victims: needed, cost: needed.reduce((sum, { cost }) => sum + cost, 0), left: rooms.of(incarnation).accelerators }
+  return { incarnation, victims, cost: victims.reduce((sum, { cost }) => sum + cost, 0), left }
+}
+
+/** What a gang holds on one worker. */
+function heldOn (incarnation: string, { members, needs }: Victim): Resources {
+  return members.reduce((sum, member) => member.incarnation === incarnation ? addResources(sum, needs) : sum, noResources)
 }
