Let entries ask the first control host first again, and give a test its clock

Cause: the shared list of control hosts began with a random one for entries as well; test/entry-failures relies on the order of the settings. Two tests of configuration calls made ports without the clock that calls now take (the tests' own fixture, completed; the checks stand as they were). Change: the list begins with the first address; processes that start together by the hundred ask for a random one.

--- a/src/client/known-hosts.ts
+++ b/src/client/known-hosts.ts
@@ -1,19 +1,24 @@
 /** Where control hosts are: those of the settings, and those that a leader named since. */
 export class KnownHosts {
   private learned: readonly string[] = []
-  private turn = 0
-
-  private constructor (private seeds: readonly string[]) {}
+  private constructor (private seeds: readonly string[], private turn: number) {}
 
   /**
    * Makes the list.
    * @param seeds - addresses of the settings, IP number and port
-   * @returns the list, which begins with a random one of them
+   * @returns the list, which begins with the first of them
    */
   static create (seeds: readonly string[]): KnownHosts {
-    const hosts = new KnownHosts(seeds)
-    hosts.turn = Math.floor(Math.random() * Math.max(1, seeds.length))
-    return hosts
+    return new KnownHosts(seeds, 0)
+  }
+
+  /**
+   * Makes a list for one of many processes that start together.
+   * @param seeds - addresses of the settings, IP number and port
+   * @returns the list, which begins with a random one of them
+   */
+  static createSpread (seeds: readonly string[]): KnownHosts {
+    return new KnownHosts(seeds, Math.floor(Math.random() * Math.max(1, seeds.length)))
   }
 
   /** All addresses, the present control hosts first. */
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -20,10 +20,10 @@
 
 /** The door opens first: clients are answered while the rest of the entry is still being loaded. */
 async function startDeployedEntry (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
-  const { connectControl, QueueClient } = await import('../client/index')
+  const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { ClientDoor } = await import('../../platform/client-api')
   const deployment = deploymentOf(settings)
-  const connection = connectControl(settings.controlHosts, createLogger(Role.Entry, settings.logLevel), tls)
+  const connection = connectControl(KnownHosts.createSpread(settings.controlHosts), createLogger(Role.Entry, settings.logLevel), tls)
   const started: { host?: EntryHost } = {}
   const door = await ClientDoor.open({
     address: doorAddress('clients', deployment),
@@ -46,10 +46,10 @@
 
 /** A control host without a disk keeps nothing: its door asks the leader. */
 async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
-  const { connectControl, QueueClient } = await import('../client/index')
+  const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { OperatorDoor } = await import('../../platform/operator')
   const control = settings.control === undefined ? undefined : await startControl(settings, tls)
-  const { hosts, channels, leader } = connectControl(settings.controlHosts, createLogger(Role.Control, settings.logLevel), tls)
+  const { hosts, channels, leader } = connectControl(KnownHosts.createSpread(settings.controlHosts), createLogger(Role.Control, settings.logLevel), tls)
   const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
   return {
     role: Role.Control,
@@ -68,7 +68,7 @@
   const { KnownHosts } = await import('../client/known-hosts')
   const { WorkerClient, WorkerDoor } = await import('../../platform/worker')
   const { mutualCredentials } = await import('./credentials')
-  const hosts = KnownHosts.create(settings.controlHosts)
+  const hosts = KnownHosts.createSpread(settings.controlHosts)
   const supervisor = Supervisor.create({
     host: settings.host,
     hosts,
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -6,7 +6,7 @@
 import { parseAddress, type EntrySettings, type TlsFiles } from '../settings/index'
 import { Access } from './access'
 import { addAdmission } from './admission'
-import { connectControl, type Channels, type ControlConnection, type Leader } from '../client/index'
+import { connectControl, KnownHosts, type Channels, type ControlConnection, type Leader } from '../client/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
 import { parseJson } from '../core/json-text'
 import { notRun, RefusalCode } from '../core/verdict'
@@ -48,7 +48,7 @@
   private readonly follower: ConfigurationFollower
 
   private constructor (private readonly options: EntryOptions) {
-    const { hosts, channels, leader } = options.connection ?? connectControl(options.controlHosts, options.logger, options.tls)
+    const { hosts, channels, leader } = options.connection ?? connectControl(KnownHosts.create(options.controlHosts), options.logger, options.tls)
     this.channels = channels
     this.leader = leader
     this.follower = ConfigurationFollower.create({
--- a/test/configuration-calls.test.ts
+++ b/test/configuration-calls.test.ts
@@ -8,7 +8,7 @@
 const unknownOutcome: Refusal = { code: RefusalCode.Unavailable, message: 'leadership moved', verdict: Verdict.MayHaveRun, retryCanHelp: true, retryAfter: 100 }
 
 function callWith (committed: State, head: State, submit: CallPorts['submit'], sent: PutConfigurationRequest): Promise<ConfigurationReply> {
-  const ports = { leads: () => true, leader: () => '', confirm: () => Promise.resolve(true), committed: () => committed, head: () => head, submit } as Partial<CallPorts> as CallPorts
+  const ports = { leads: () => true, leader: () => '', confirm: () => Promise.resolve(true), committed: () => committed, head: () => head, submit, now: () => Date.now() } as Partial<CallPorts> as CallPorts
   const calls = controlCalls(ports) as unknown as ControlServer
   return new Promise((resolve) => { calls.putConfiguration({ request: sent } as never, (_, reply) => { resolve(reply as ConfigurationReply) }) })
 }
