Refuse callers within their patience, and at once when no leader has been there for long

Ruled out: elections (the core was dark until 9.2 s, they took 0.6 s after). Change: searches end with the caller's patience; after 2 s without any sign of a leader a caller waits for one look of 200 ms. Two tests fail without it.

--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -20,12 +20,18 @@
 
 /** Longest wait for a host to confirm itself, in milliseconds: a quorum answers within a few round trips. */
 const CONFIRM_MILLISECONDS = 300
+/** Time without any word of a leader after which callers are refused after one short look, in milliseconds: two elections. */
+const LONG_GONE_MILLISECONDS = 2_000
+/** That look, in milliseconds: a few round trips between data centres. */
+const LOOK_MILLISECONDS = 200
 /** Pause between two searches, in milliseconds. */
 const PAUSE_MILLISECONDS = 40
 
 /** Calls to whichever host leads. */
 export class ConfirmedCalls {
   private searching?: Promise<string | undefined>
+  /** Steady milliseconds. */
+  private readonly made = performance.now()
 
   private constructor (private readonly leader: Leader) {}
 
@@ -51,10 +57,11 @@
   ): Promise<Result<Reply, Refusal>> {
     const began = performance.now()
     let sent = false
-    const left = (): number => (sent ? limits.settle : limits.find) - (performance.now() - began)
+    const find = this.leaderIsLongGone ? Math.min(limits.find, LOOK_MILLISECONDS) : limits.find
+    const left = (): number => (sent ? limits.settle : find) - (performance.now() - began)
     while (left() > 0) {
-      const address = this.leader.fresh ?? await this.find()
-      if (address === undefined) { await sleep(jittered(PAUSE_MILLISECONDS)); continue }
+      const address = this.leader.fresh ?? await within(left(), this.find())
+      if (address === undefined) { await sleep(Math.max(0, Math.min(left(), jittered(PAUSE_MILLISECONDS)))); continue }
       const reply = await this.leader.ask(address, method, request, limits.tried)
       if (reply instanceof BrokenCall) {
         this.leader.suspect(address)
@@ -70,6 +77,11 @@
     return err(noLeader(sent))
   }
 
+  /** Nobody gains by waiting for a leader that has been gone for longer than an election takes. */
+  private get leaderIsLongGone (): boolean {
+    return performance.now() - Math.max(this.made, this.leader.seenAt) > LONG_GONE_MILLISECONDS
+  }
+
   /** All hosts are asked at once, and callers that wait share one search. */
   private async find (): Promise<string | undefined> {
     this.searching ??= this.search().finally(() => { this.searching = undefined })
@@ -87,3 +99,12 @@
     return found
   }
 }
+
+/** The outcome of a promise, or nothing where it takes too long. */
+async function within<Value> (milliseconds: number, outcome: Promise<Value | undefined>): Promise<Value | undefined> {
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<undefined>((resolve) => { timer = setTimeout(() => { resolve(undefined) }, milliseconds) })
+  const first = await Promise.race([outcome, late])
+  clearTimeout(timer)
+  return first
+}
--- a/src/client/leader.ts
+++ b/src/client/leader.ts
@@ -59,6 +59,8 @@
 export class Leader {
   private current: string | undefined
   private confirmed: string | undefined
+  /** When a leader last gave any sign, in steady milliseconds. */
+  seenAt = -Infinity
   private heardFrom: string | undefined
   /** Steady milliseconds. */
   private heardAt = -Infinity
@@ -104,6 +106,7 @@
     if (this.confirmed !== address) this.logger.info('leader-found', { leader: address })
     this.confirmed = address
     this.current = address
+    this.seenAt = performance.now()
     for (const [stream, asked] of this.streams) {
       if (asked !== address) stream.cancel()
     }
@@ -117,6 +120,7 @@
     this.current = address
     this.heardFrom = address
     this.heardAt = performance.now()
+    this.seenAt = this.heardAt
   }
 
   /** The leader, where it was heard a moment ago. */
--- a/test/queue-client.test.ts
+++ b/test/queue-client.test.ts
@@ -68,3 +68,20 @@
   })
   expect((await clientOf([leader]).ask(call))._unsafeUnwrap().state).toBe('running')
 })
+
+test('a caller with little patience is refused within it', async () => {
+  const client = clientOf([await darkHost(), await darkHost()])
+  const began = performance.now()
+  const answer = await client.ask({ ...call, patienceMilliseconds: 100 })
+  expect(answer._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
+  expect(performance.now() - began).toBeLessThan(90)
+})
+
+test('once no leader has been there for long, a caller waits for one short look', async () => {
+  const client = clientOf([await darkHost(), await darkHost()])
+  await client.ask(call)
+  await new Promise((resolve) => { setTimeout(resolve, 1_500) })
+  const began = performance.now()
+  await client.ask(call)
+  expect(performance.now() - began).toBeLessThan(400)
+})
