--- a/src/client/leader.ts
+++ b/src/client/leader.ts
@@ -7,16 +7,10 @@
 import type { KnownHosts } from './known-hosts'
 import { mayHaveRun } from './refusals'
 
-/** How long a unary call may take, in milliseconds. */
-export interface CallLimits {
-  /** One try of it. */
-  readonly tryMilliseconds: number
-  /** All its tries together. */
-  readonly callMilliseconds: number
-}
-
-/** Limits of calls whose callers name none: long enough for an election and a slow disk. */
-const defaultLimits: CallLimits = { tryMilliseconds: 3_000, callMilliseconds: 10_000 }
+/** Longest time of one try of a unary call. */
+const TRY_MILLISECONDS = 3_000
+/** Longest time of a unary call with all its tries. */
+const CALL_MILLISECONDS = 10_000
 /** A stream is opened anew after this time, so that no call is without a deadline. */
 const STREAM_MILLISECONDS = 600_000
 /** Longest wait for the first message of a stream. */
@@ -146,18 +140,17 @@
    * @param method - a unary method of the Control service
    * @param request - its message
    * @param kind - whether it may be sent again
-   * @param limits - how long it may take
    * @returns the leader's reply, which may hold its refusal; or the refusal of this entry
    */
   async call<Request, Reply extends Refusable> (
-    method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind, limits = defaultLimits
+    method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind
   ): Promise<Result<Reply, Refusal>> {
-    const giveUpAt = performance.now() + limits.callMilliseconds
+    const giveUpAt = performance.now() + CALL_MILLISECONDS
     let sent = false
     for (const pause of pauses()) {
       const address = this.address
       const left = Math.max(1, giveUpAt - performance.now())
-      const reply = await this.ask(address, method, request, Math.min(left, limits.tryMilliseconds))
+      const reply = await this.ask(address, method, request, Math.min(left, TRY_MILLISECONDS))
       if (reply instanceof BrokenCall) {
         sent ||= reply.sent && kind !== CallKind.Read
         this.suspect(address)
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
-  RunOutcome, runName, StepTransactionKind, Trust,
+  gangOf, RunOutcome, runName, StepTransactionKind, Trust,
   type FleetView, type Life, type LifeDescription, type RunEnd, type RunKey, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -309,7 +309,7 @@
     const { jobs } = this.ports.committed().steps
     return [...life.runs].flatMap(([name, key]): wire.StartOrder[] => {
       const job = jobs.get(key.job)
-      const gang = job?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
+      const gang = gangOf(job, key)
       if (job === undefined || gang === undefined || gang.run?.attempt !== key.attempt) return []
       if (listed.has(name) || gang.done || gang.run.stopping !== undefined) return []
       return [{ key, payload: job.specification.payload, checkpoint: gang.checkpoint }]
@@ -320,8 +320,7 @@
   private stops (life: Life | undefined, report: wire.WorkerReport | undefined): RunKey[] {
     const { jobs } = this.ports.committed().steps
     const stopping = [...life?.runs.values() ?? []].filter((key) => {
-      const gang = jobs.get(key.job)?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
-      return gang?.run?.stopping !== undefined
+      return gangOf(jobs.get(key.job), key)?.run?.stopping !== undefined
     })
     const neverBegun = (report?.ends ?? []).filter(({ number }) => number === 0)
     const strays = [...report?.runs ?? [], ...neverBegun].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
--- a/src/core/steps/candidates.ts
+++ b/src/core/steps/candidates.ts
@@ -25,15 +25,7 @@
   return (trusted.length > 0 ? trusted : lives).sort((one, other) => one.incarnation < other.incarnation ? -1 : 1)
 }
 
-/**
- * Tells whether a worker may run a step at all.
- * @param life - the worker
- * @param queue - the queue of the job
- * @param step - the step
- * @param choice - what limits the choice
- * @returns true where service, label and state fit
- */
-export function mayUse (life: Life, queue: Queue, step: StepSpecification, choice: Choice): boolean {
+function mayUse (life: Life, queue: Queue, step: StepSpecification, choice: Choice): boolean {
   return life.service === queue.service && !life.leaving && !choice.silent.has(life.incarnation) && carries(life, step)
 }
 
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -169,6 +169,16 @@
   }
 }
 
+/**
+ * The gang that a task belongs to.
+ * @param job - the job, where it is known
+ * @param key - the task, by its step and its position there
+ * @returns the gang, or nothing where the job has no such task
+ */
+export function gangOf (job: StepJob | undefined, key: Pick<RunKey, 'step' | 'task'>): Gang | undefined {
+  return job?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
+}
+
 /**
  * Tells whether a job of steps has ended.
  * @param job - the job
--- a/src/core/steps/rooms.ts
+++ b/src/core/steps/rooms.ts
@@ -25,7 +25,7 @@
   return { step: `${job}.${number}`, processors, memoryMegabytes, accelerators, mostPerWorker, losesWork: !checkpoints }
 }
 
-/** Free room by incarnation; changed only through a copy that is kept or thrown away. */
+/** Free room by incarnation. What is taken in a trial is undone, or the trial is made on a copy. */
 export class Rooms {
   private constructor (
     private readonly free: Map<string, Resources>, private readonly tasks: Map<string, number>, private readonly losing: Map<string, number>
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -4,7 +4,7 @@
 import { EffectKind } from '../effect'
 import { notRun, RefusalCode, type Refusal } from '../verdict'
 import { endStepJob, queueOfJob, setStepJob, stoppedGang } from './jobs'
-import { addResources, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type Life, type StepJob, type StepSpecification } from './model'
+import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type Life, type StepJob, type StepSpecification } from './model'
 import { needOf, Rooms } from './rooms'
 import { StepTransactionKind, type EndRuns, type GangKey, type TaskPlacement, type StartGang, type StopGang } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
@@ -92,15 +92,14 @@
  */
 export function endMember (draft: Draft, key: RunKey, incarnation: string, outcome: RunOutcome, checkpoint: string): void {
   const job = draft.steps.jobs.get(key.job)
-  const position = job?.gangs[key.step]?.findIndex(({ first, size }) => key.task >= first && key.task < first + size) ?? -1
-  const gang = job?.gangs[key.step]?.[position]
+  const gang = gangOf(job, key)
   const member = gang?.run?.members.find(({ task }) => task === key.task)
   if (job === undefined || gang?.run?.attempt !== key.attempt || member?.incarnation !== incarnation || member.ended) return
   releaseRoom(draft, key, incarnation, job)
   const members = gang.run.members.map((other) => other === member ? { ...other, ended: true } : other)
   const run = { ...gang.run, members, failed: gang.run.failed || outcome === RunOutcome.Failed }
   const after: Gang = { ...gang, run, done: gang.done || outcome === RunOutcome.Done, checkpoint: checkpoint === '' ? gang.checkpoint : checkpoint }
-  const place: GangKey = { job: job.identifier, step: key.step, gang: position }
+  const place: GangKey = { job: job.identifier, step: key.step, gang: job.gangs[key.step]?.indexOf(gang) ?? -1 }
   noteEnd(draft, job, key, incarnation, outcome)
   if (members.every(({ ended }) => ended)) settle(draft, withGang(job, place, settledGang(after)), place)
   else settle(draft, withGang(job, place, outcome === RunOutcome.Done ? after : stoppedGang(draft, after, StopReason.MemberEnded)), place)
--- a/src/core/steps/victims.ts
+++ b/src/core/steps/victims.ts
@@ -1,6 +1,6 @@
 /** What is stopped so that a gang of a higher priority can start: as little lost work as possible. */
 import { queueOfJob } from './jobs'
-import { addResources, noResources, type GangRun, type Life, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
+import { addResources, gangOf, noResources, type GangRun, type Life, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './order'
 import { fitsInto, type Rooms, type TaskNeed } from './rooms'
 import type { GangKey, TaskPlacement } from './transactions'
@@ -93,7 +93,7 @@
 
 function stoppingResources (state: StepState, key: RunKey): Resources | undefined {
   const job = state.jobs.get(key.job)
-  const gang = job?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
+  const gang = gangOf(job, key)
   const ending = gang === undefined || gang.done || gang.run?.stopping !== undefined
   return ending ? job?.specification.steps[key.step] : undefined
 }
