Wait for room on a full disk instead of ending

The audit record threw out of the commit path as well. Ruled out: cutting the torn frame and writing the batch again, which would need the same care for a segment that was just begun. Test: test/disk-full, both cases failed before (a write refused for good, an exception).

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -219,9 +219,9 @@
    * Record lines that a snapshot covers are not made again from the log, so they must last before it does.
    * The loop goes on with other work between the pieces: a state is immutable, so it cannot change meanwhile.
    */
-  private async takeSnapshot (): Promise<Uint8Array> {
+  private async takeSnapshot (): Promise<Uint8Array | undefined> {
     const state = this.machine.committed
-    this.record.sync()
+    if (!this.record.sync()) return undefined
     const pieces: Uint8Array[] = []
     let began = performance.now()
     for (const piece of encodeStateInPieces(state)) {
--- a/src/control/recordstore.ts
+++ b/src/control/recordstore.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path'
 import { err, ok, type Result } from 'neverthrow'
 import { lineDigest, verifyRecord, type RecordHead, type RecordLine } from '../core/index'
+import { isFull } from './disk'
 
 /** Bytes of lines after which a segment is sealed. */
 const SEGMENT_BYTES = 4 * 1024 * 1024
@@ -52,6 +53,10 @@
   private segments: Segment[] = []
   private file?: number
   private buffer: string[] = []
+  /** What a full disk did not take. */
+  private unwritten = Buffer.alloc(0)
+  /** Lines of a segment that could not be begun on a full disk. */
+  private held: RecordLine[] = []
   private buffered = 0
   private cutAt?: string
 
@@ -105,30 +110,42 @@
   }
 
   /**
-   * Adds the lines of committed entries. Lines that are held already, as after a restart, are passed over.
+   * Adds the lines of committed entries. Lines that are held already, as after a restart, are passed over; on a full disk
+   * they stay in memory until there is room.
    * @param lines - in order
    */
   append (lines: readonly RecordLine[]): void {
-    for (const line of lines) {
-      const { head } = this
-      if (head !== undefined && line.sequence <= head.sequence) continue
-      const newest = this.segments.at(-1)
-      if (newest === undefined || newest.bytes >= this.segmentBytes || line.sequence !== newest.last.sequence + 1) this.begin(line)
-      this.add(line)
-    }
+    const due = [...this.held, ...lines]
+    const taken = due.findIndex((line) => !this.take(line))
+    this.held = taken < 0 ? [] : due.slice(taken)
     if (this.buffered >= BUFFER_BYTES) this.write()
   }
 
-  /** Makes everything that was added lasting. Called before a snapshot that covers its entries is saved. */
-  sync (): void {
-    this.write()
+  /**
+   * Makes everything that was added lasting. Called before a snapshot that covers its entries is saved.
+   * @returns false where the disk has no room: then lines that are in memory only need the log
+   */
+  sync (): boolean {
+    this.append([])
+    const whole = this.write() && this.held.length === 0
     if (this.file !== undefined) fsyncSync(this.file)
+    return whole
   }
 
   close (): void {
     this.sync()
-    if (this.file !== undefined) closeSync(this.file)
-    this.file = undefined
+    this.closeFile()
+  }
+
+  /** Returns whether the line was taken; a segment cannot be begun on a full disk. */
+  private take (line: RecordLine): boolean {
+    const { head } = this
+    if (head !== undefined && line.sequence <= head.sequence) return true
+    const newest = this.segments.at(-1)
+    const fits = newest !== undefined && newest.bytes < this.segmentBytes && line.sequence === newest.last.sequence + 1
+    if (!fits && !this.begin(line)) return false
+    this.add(line)
+    return true
   }
 
   /**
@@ -192,15 +209,25 @@
     return ok(undefined)
   }
 
-  private begin (line: RecordLine): void {
-    this.close()
+  /** Returns whether the segment was begun: the one before it must be whole, and the disk must take a new file. */
+  private begin (line: RecordLine): boolean {
+    if (!this.write()) return false
+    if (this.file !== undefined) fsyncSync(this.file)
+    this.closeFile()
     const header: SegmentHeader = { first: line.sequence, previous: previousOf(line) }
     const name = `segment-${String(line.sequence).padStart(DIGITS, '0')}.jsonl`
-    this.file = openSync(join(this.folder, name), 'w')
+    this.file = whereRoom(() => openSync(join(this.folder, name), 'w'))
+    if (this.file === undefined) return false
     syncFolder(this.folder)
     this.segments.push({ name, ...header, bytes: 0, last: { sequence: line.sequence - 1, digest: header.previous } })
     this.put(JSON.stringify({ segment: 1, ...header }))
     this.removeOld()
+    return true
+  }
+
+  private closeFile (): void {
+    if (this.file !== undefined) closeSync(this.file)
+    this.file = undefined
   }
 
   private add (line: RecordLine): void {
@@ -215,12 +242,21 @@
     this.segments.at(-1)!.bytes += bytes
   }
 
-  private write (): void {
-    if (this.file === undefined || this.buffered === 0) return
-    const data = Buffer.from(this.buffer.join(''))
-    for (let written = 0; written < data.length;) written += writeSync(this.file, data, written)
+  /** Returns whether nothing is left; a full disk may take a part. */
+  private write (): boolean {
+    const { file } = this
+    if (file === undefined || this.buffered === 0) return true
+    const data = Buffer.concat([this.unwritten, Buffer.from(this.buffer.join(''))])
     this.buffer = []
-    this.buffered = 0
+    let written = 0
+    while (written < data.length) {
+      const more = whereRoom(() => writeSync(file, data, written))
+      if (more === undefined) break
+      written += more
+    }
+    this.unwritten = data.subarray(written)
+    this.buffered = this.unwritten.length
+    return this.buffered === 0
   }
 
   /** The header of the oldest segment that stays holds the digest to which its first line is chained. */
@@ -234,6 +270,16 @@
   }
 }
 
+/** Runs a file operation; nothing where the disk is full. */
+function whereRoom<Value> (operation: () => Value): Value | undefined {
+  try {
+    return operation()
+  } catch (error) {
+    if (isFull(error)) return undefined
+    throw error
+  }
+}
+
 function previousOf (line: RecordLine): string {
   return (JSON.parse(line.text) as { previous: string }).previous
 }
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -81,8 +81,8 @@
   /** Called in order, for each index once after a start or a restore. */
   onCommit (entries: readonly CommittedEntry[]): void
   onRestore (snapshot: Uint8Array, index: number): void
-  /** The state as it is when this is called; it may be written out in pieces afterwards. */
-  takeSnapshot (): Uint8Array | Promise<Uint8Array>
+  /** The state as it is when this is called, which may be written out in pieces afterwards; nothing where the log is still needed. */
+  takeSnapshot (): Uint8Array | undefined | Promise<Uint8Array | undefined>
   /** Leader is told only when everything before the leader's own first entry was handed to onCommit. */
   onRole (role: Role, term: number): void
   /** The data folder failed; the replica has stopped taking part. */
@@ -354,6 +354,7 @@
     const head = { index, term: termAt(this.state, index) ?? 0, members: membersAt(this.state, index) }
     const data = await this.options.takeSnapshot()
     if (this.stopped) return
+    if (data === undefined) { this.options.log('snapshot-put-off', { index }); this.savingSnapshot = false; return }
     const saved = await this.storage.saveSnapshot({ head, data })
     this.savingSnapshot = false
     if (saved.isErr()) { this.fail(saved.error); return }
@@ -463,7 +464,7 @@
 async function openDisk (options: ReplicaOptions): Promise<Result<Disk, StorageError>> {
   if (options.disk !== undefined) return ok(options.disk)
   try {
-    return ok(await FolderDisk.create(options.folder))
+    return ok(await FolderDisk.create(options.folder, (event) => { options.log(event, { folder: options.folder }) }))
   } catch (error) {
     return err({ kind: StorageErrorKind.Failed, file: options.folder, message: error instanceof Error ? error.message : String(error) })
   }
