Reach queues and jobs of steps through the product's own API, command line and account statement

Weighed: callers addressing queues by host and path here as well, which is the platform's manner; the name of the queue and the account that the entry has checked already. Kept: the second; one more branch in routing, same handlers. Change: /queues and /queue-document, bramleyflow queue ..., job explain, statement lines in core/step-statement, published schemas. Guarantees by number stand in the record with the document that changed them.

--- a/scripts/schemas.mjs
+++ b/scripts/schemas.mjs
@@ -10,7 +10,8 @@
     contents: [
       "export { settingsSchema as settings } from './src/settings/index'",
       "export { documentSchema as document } from './src/core/document'",
-      "export { submissionSchema as submission } from './src/entry/job-request'"
+      "export { submissionSchema as submission } from './src/entry/job-request'",
+      "export { stepJobSchema, queueDocumentSchema } from './src/core/steps/index'"
     ].join('\n'),
     resolveDir: '.'
   },
@@ -22,7 +23,8 @@
   packages: 'external',
   logLevel: 'warning'
 })
-const sources = await import(pathToFileURL(resolve(bundle)).href)
+const { stepJobSchema, queueDocumentSchema, ...rest } = await import(pathToFileURL(resolve(bundle)).href)
+const sources = { ...rest, 'step-job': stepJobSchema, 'queue-document': queueDocumentSchema }
 mkdirSync('schemas', { recursive: true })
 let stale = 0
 for (const [name, schema] of Object.entries(sources)) {
--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -10,19 +10,31 @@
 
 export { QueueOperation }
 
-/** One request of a caller. */
-export interface QueueCall {
+interface CallBase {
   readonly operation: QueueOperation
-  readonly host: string
-  readonly path: string
-  /** The caller's key, empty without one. */
-  readonly key: string
   /** The job that is handed in. */
   readonly job?: StepJobSpecification
   /** How long the caller waits, in milliseconds. */
   readonly patienceMilliseconds: number
 }
 
+/** One request of a caller, by the address of the queue. */
+export interface QueueCall extends CallBase {
+  readonly host: string
+  readonly path: string
+  /** The caller's key, empty without one. */
+  readonly key: string
+}
+
+/** One request of a caller whose account is known, by the name of the queue. */
+export interface NamedQueueCall extends CallBase {
+  readonly queue: string
+  /** Empty for an operator. */
+  readonly account: string
+  /** Empty for the queue itself. */
+  readonly identifier: string
+}
+
 /** What a queue answers. */
 export interface JobAnswer {
   /** Empty where the path names a queue. */
@@ -72,9 +84,23 @@
    * @returns the answer, or a refusal with its verdict
    */
   async ask (call: QueueCall): Promise<Result<JobAnswer, Refusal>> {
-    const { operation, host, path, key, job } = call
-    const request: QueueRequest = { operation, host, path, keyDigest: digestOf(key), jobJson: job === undefined ? '' : JSON.stringify(job) }
-    const reply = await this.calls.call(ControlService.queue, request, kindOf[operation], limitsFor(call.patienceMilliseconds))
+    const { host, path, key } = call
+    return await this.send(call, { host, path, keyDigest: digestOf(key), queue: '', account: '' })
+  }
+
+  /**
+   * Carries one request to a queue that is named.
+   * @param call - the request
+   * @returns the answer, or a refusal with its verdict
+   */
+  async askNamed (call: NamedQueueCall): Promise<Result<JobAnswer, Refusal>> {
+    const { queue, account, identifier } = call
+    return await this.send(call, { host: '', path: identifier, keyDigest: '', queue, account })
+  }
+
+  private async send ({ operation, job, patienceMilliseconds }: CallBase, place: Omit<QueueRequest, 'operation' | 'jobJson'>): Promise<Result<JobAnswer, Refusal>> {
+    const request: QueueRequest = { operation, jobJson: job === undefined ? '' : JSON.stringify(job), ...place }
+    const reply = await this.calls.call(ControlService.queue, request, kindOf[operation], limitsFor(patienceMilliseconds))
     return reply.andThen(answerOf)
   }
 
--- a/src/command/command-line.ts
+++ b/src/command/command-line.ts
@@ -2,8 +2,9 @@
 import { AuditAccount, AuditExport, AuditVerify } from './audit'
 import { ConfigurationCheck, ConfigurationGet, ConfigurationPut, ConfigurationStatus } from './configuration'
 import { ControlAdd, ControlMembers, ControlRemove, ControlTransfer } from './control'
-import { JobAnswer, JobCancel, JobList, JobShow, JobSubmit } from './job'
+import { JobAnswer, JobCancel, JobExplain, JobList, JobShow, JobSubmit } from './job'
 import { Load } from './load'
+import { QueueCancel, QueueDocumentGet, QueueDocumentPut, QueuePending, QueueShow, QueueSubmit } from './queue'
 import { Serve } from './serve'
 import { StandInPlatform, StandInTarget } from './stand-in'
 import { WorkerDrain, WorkerList, WorkerUndrain } from './worker'
@@ -11,7 +12,8 @@
 const commands = [
   Serve,
   ConfigurationGet, ConfigurationPut, ConfigurationCheck, ConfigurationStatus,
-  JobSubmit, JobList, JobShow, JobCancel, JobAnswer,
+  JobSubmit, JobList, JobShow, JobCancel, JobAnswer, JobExplain,
+  QueueSubmit, QueueShow, QueueCancel, QueuePending, QueueDocumentGet, QueueDocumentPut,
   WorkerList, WorkerDrain, WorkerUndrain,
   ControlMembers, ControlAdd, ControlRemove, ControlTransfer,
   AuditExport, AuditVerify, AuditAccount,
--- a/src/command/job.ts
+++ b/src/command/job.ts
@@ -4,7 +4,7 @@
 import type { JobView } from '../entry/job-view'
 import type { EntryAnswer } from './entry-client'
 import { jsonOf } from './entry-client'
-import { EntryCommand, readJsonFile, table, UsageProblem, wholeNumber } from './entry-command'
+import { EntryCommand, readJsonFile, readTextFile, table, UsageProblem, wholeNumber } from './entry-command'
 import { ExitCode } from './exit-code'
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -169,6 +169,39 @@
   }
 }
 
+/** Shows every line of the record that concerns one job. */
+export class JobExplain extends EntryCommand {
+  static override paths = [['job', 'explain']]
+  static override usage = Command.Usage({
+    category: 'Jobs',
+    description: 'show from the audit trail what was decided on a job, when and why',
+    details: 'Works for every kind of job, with an operator\'s token or on an export. Exits with 7 where the trail is damaged or does not know the job.'
+  })
+
+  identifier = Option.String({ name: 'IDENTIFIER' })
+  file = Option.String('--file', { description: 'an export, - for standard input; by default the entry is asked' })
+
+  protected override async run (): Promise<ExitCode> {
+    if (this.file !== undefined) return await this.report(await readTextFile(this.file))
+    return await this.ask({ method: 'GET', path: '/audit', patient: true }, async (answer) => await this.report(answer.body.toString()))
+  }
+
+  private async report (text: string): Promise<ExitCode> {
+    const { accountStatement, accountOfJob, lineOfStatement } = await import('../core/account-statement')
+    const lines = text.split('\n').filter((line) => line !== '')
+    const account = accountOfJob(lines, this.identifier)
+    if (account === undefined) {
+      this.complain(`the audit trail does not know job ${this.identifier}: it was refused before it was accepted, or its lines are no longer kept`)
+      return ExitCode.CheckFailed
+    }
+    const statement = accountStatement(lines, account)
+    for (const fault of statement.verification.faults) this.complain(fault.text)
+    const found = statement.lines.filter(({ job }) => job === this.identifier)
+    this.print({ account, lines: found }, () => [`account ${account}`, ...found.map(lineOfStatement)])
+    return statement.verification.faults.length === 0 ? ExitCode.Done : ExitCode.CheckFailed
+  }
+}
+
 /** Fetches a job's answer. */
 export class JobAnswer extends AnswerCommand {
   static override paths = [['job', 'answer']]
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,7 +1,7 @@
 /** Requests of callers to queues, and the numbered document, at the leader. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, notRun, pendingJobs, RefusalCode, resolveRoute, StepTransactionKind,
+  checkQueueDocument, checkStepJob, notRun, pendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
   type Refusal, type Route, type State, type StepJob, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -55,12 +55,15 @@
   const handler = handlers[request.operation]
   if (handler === undefined) return err(notRun(RefusalCode.BadRequest, 'the operation is not known'))
   if (!ports.leads()) return err(notLeading)
-  const { host, path, keyDigest } = request
-  const route = resolveRoute(ports.committed().steps, { host, path, keyDigest })
+  const route = routeOf(ports.committed(), request)
   if (route.isOk()) return await handler(ports, route.value, request)
   return await ports.confirm() ? err(route.error) : err(notLeading)
 }
 
+function routeOf ({ steps }: State, { host, path, keyDigest, queue, account }: wire.QueueRequest): Result<Route, Refusal> {
+  return queue === '' ? resolveRoute(steps, { host, path, keyDigest }) : resolveQueue(steps, { queue, account, job: path })
+}
+
 /** The commit proves that the route was resolved by the document in force. */
 async function submit (ports: QueuePorts, { queue, account, rest }: Route, { jobJson }: wire.QueueRequest): Promise<Answer> {
   if (!JOB_IDENTIFIER.test(rest)) return err(notRun(RefusalCode.BadRequest, 'the path names no job'))
@@ -85,10 +88,10 @@
   return outcome.map(() => ({ state: stateOf(ports, route.rest) }))
 }
 
-/** An account sees its own jobs only; a public queue knows no accounts. */
-function jobOf (ports: QueuePorts, { queue, account, rest }: Route): StepJob | undefined {
+/** An account sees its own jobs only; a public queue knows no accounts, and operators see all. */
+function jobOf (ports: QueuePorts, { everyAccount, account, rest }: Route): StepJob | undefined {
   const job = ports.committed().steps.jobs.get(rest)
-  return job !== undefined && (queue.public || job.account === account) ? job : undefined
+  return job !== undefined && (everyAccount || job.account === account) ? job : undefined
 }
 
 function stateOf (ports: QueuePorts, identifier: string): string {
--- a/src/core/account-statement.ts
+++ b/src/core/account-statement.ts
@@ -1,5 +1,7 @@
 import { JobState, Reason } from './job'
 import type { AccountPromise, RecordEvent } from './record'
+import { StepJobState } from './steps/model'
+import { stepHandlers, type StatementPage } from './step-statement'
 import { verifyRecord, type RecordVerification, type VerifyOptions } from './record-verify'
 import { TransactionKind } from './transaction'
 import { Verdict } from './verdict'
@@ -14,6 +16,7 @@
   GivenBack = 'given-back',
   Reclaimed = 'reclaimed',
   Waiting = 'waiting',
+  TaskEnded = 'task-ended',
   Ended = 'ended',
   Refused = 'refused'
 }
@@ -90,7 +93,9 @@
   readonly graceMilliseconds: number
 }
 
-type Event = RecordEvent & { readonly sequence: number }
+/** A line of the record, parsed. */
+export type StatementEvent = RecordEvent & { readonly sequence: number }
+type Event = StatementEvent
 type Handler = (event: Event) => void
 
 /**
@@ -119,9 +124,9 @@
   }
 }
 
-class StatementReader {
+class StatementReader implements StatementPage {
   private readonly lines: StatementLine[] = []
-  private readonly jobs = new Map<string, JobAccount>()
+  readonly jobs = new Map<string, JobAccount>()
   private readonly waitingSince = new Map<string, number>()
   private readonly homes = new Map<string, Place>()
   private readonly missing = new Map<string, number>()
@@ -148,7 +153,7 @@
     [TransactionKind.Refuse]: (event) => { this.readRefused(event) }
   }
 
-  private constructor (private readonly account: string) {}
+  private constructor (readonly account: string) {}
 
   static create (account: string): StatementReader {
     return new StatementReader(account)
@@ -156,6 +161,7 @@
 
   read (event: Event): void {
     this.handlers[event.kind]?.(event)
+    stepHandlers[event.kind]?.(this, event)
   }
 
   finish (verification: RecordVerification): AccountStatement {
@@ -174,7 +180,7 @@
       finishedMoreThanOnce: count((job) => job.finishes > 1),
       failedNotRun: count((job) => job.state === JobState.Failed && job.verdict === Verdict.NotRun),
       failedMayHaveRun: count((job) => job.state === JobState.Failed && job.verdict !== Verdict.NotRun),
-      cancelled: count((job) => job.state === JobState.Cancelled),
+      cancelled: count((job) => job.state === JobState.Cancelled || job.state === StepJobState.Cancelled),
       open: count((job) => job.endedAt === 0),
       refused: this.refused,
       placedOnGuarantee: this.onGuarantee,
@@ -182,7 +188,7 @@
     }
   }
 
-  private say (event: Event, kind: StatementKind, text: string): void {
+  say (event: Event, kind: StatementKind, text: string): void {
     this.lines.push({ sequence: event.sequence, at: event.at, kind, job: event.job, text })
   }
 
@@ -362,6 +368,30 @@
   return new Date(at).toISOString()
 }
 
+/**
+ * The account to which a job belongs.
+ * @param lines - the lines of an export
+ * @param job - identifier of the job
+ * @returns the name of the account, nothing where the record does not know the job
+ */
+export function accountOfJob (lines: Iterable<string>, job: string): string | undefined {
+  for (const line of lines) {
+    const event = parseEvent(line)
+    if (event?.job === job && event.account !== undefined) return event.account
+  }
+  return undefined
+}
+
+/**
+ * Puts one line of a statement into text for a person.
+ * @param line - the line
+ * @returns time, sequence number and text
+ */
+export function lineOfStatement (line: StatementLine): string {
+  const { at, sequence, text } = line
+  return `${moment(at)}  ${String(sequence).padStart(8)}  ${text}`
+}
+
 /**
  * Puts a statement into lines for a person.
  * @param statement - the statement
@@ -375,7 +405,7 @@
   const returned = reclaims.filter((reclaim) => reclaim.givenBackAt > 0).map((reclaim) => reclaim.givenBackAt - reclaim.orderedAt)
   return [
     `Statement of account ${account}; ${chain}.`,
-    ...lines.map((line) => `${moment(line.at)}  ${String(line.sequence).padStart(8)}  ${line.text}`),
+    ...lines.map(lineOfStatement),
     `Promised now: ${promise === undefined ? 'this record does not say' : promiseText(promise)}.`,
     `Jobs: ${totals.accepted} accepted, ${totals.finishedOnce} finished once, ${totals.finishedMoreThanOnce} finished more than once, ${totals.failedNotRun} failed and not run, ` +
       `${totals.failedMayHaveRun} failed and may have run, ${totals.cancelled} cancelled, ${totals.open} open. Refused and not run: ${totals.refused}.`,
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -16,6 +16,13 @@
   readonly guarantees: ReadonlyArray<Pick<Guarantee, 'shape' | 'count' | 'graceSeconds'>>
 }
 
+/** What a numbered document promises to one account. */
+export interface AcceleratorGuarantee {
+  readonly account: string
+  /** Accelerators that its jobs of priority 0 can always have; 0 where nothing is promised any more. */
+  readonly accelerators: number
+}
+
 /** One thing that was decided, as it stands in the audit trail. */
 export interface RecordEvent {
   readonly kind: TransactionKind | StepTransactionKind
@@ -40,6 +47,8 @@
   readonly shape?: Pick<Shape, 'workers' | 'accelerators' | 'within'>
   /** Name of the queue of a job of steps. */
   readonly queue?: string
+  /** Accelerators guaranteed from this numbered document on; only accounts whose guarantee changed. */
+  readonly acceleratorGuarantees?: readonly AcceleratorGuarantee[]
   readonly step?: number
   readonly task?: number
   /** Accelerators that a run of a step takes in all. */
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -6,7 +6,7 @@
   type NumberedDocument, type Queue, type QueueAccount, type QueueDocument, type Service
 } from './document'
 export { checkStepJob, stepJobSchema } from './specification'
-export { resolveRoute, type QueueAddress, type Route } from './routing'
+export { resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
 export { queueOfJob } from './jobs'
 export { pendingJobs } from './pending'
 export { scheduleSteps, type FleetView, type RunProgress } from './schedule'
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -2,10 +2,11 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Draft } from '../draft'
 import { EffectKind } from '../effect'
+import type { AcceleratorGuarantee } from '../record'
 import { notRun, RefusalCode, type Refusal } from '../verdict'
-import { checkQueueDocument, type Queue } from './document'
+import { checkQueueDocument, type Queue, type QueueAccount } from './document'
 import { StepJobState, stepJobEnded, StopReason, type Gang, type StepJob, type StepState } from './model'
-import { gangsOf } from './specification'
+import { firstStepAccelerators, gangsOf } from './specification'
 import { StepTransactionKind, type CancelSteps, type ReplaceDocument, type SubmitSteps } from './transactions'
 
 type Outcome = Result<void, Refusal>
@@ -24,12 +25,25 @@
   if (number <= (draft.steps.document?.number ?? 0)) return ok(undefined)
   const checked = checkQueueDocument(JSON.parse(documentJson))
   if (checked.isErr()) return err(notRun(RefusalCode.InvalidDocument, 'the document is not valid', 0, checked.error))
+  const before = draft.steps.document?.document.accounts ?? []
   draft.steps = { ...draft.steps, document: { number, document: checked.value, source } }
-  draft.note({ kind: StepTransactionKind.ReplaceDocument, number })
+  const acceleratorGuarantees = changedGuarantees(before, checked.value.accounts)
+  draft.note({ kind: StepTransactionKind.ReplaceDocument, number, ...acceleratorGuarantees.length > 0 ? { acceleratorGuarantees } : {} })
   draft.effect({ kind: EffectKind.DocumentReplaced, number })
   return ok(undefined)
 }
 
+function changedGuarantees (before: readonly QueueAccount[], after: readonly QueueAccount[]): AcceleratorGuarantee[] {
+  const promised = new Map(before.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
+  const changed = after.filter(({ name, guaranteedAccelerators }) => (promised.get(name) ?? 0) !== guaranteedAccelerators)
+  const kept = new Set(after.map(({ name }) => name))
+  const removed = before.filter(({ name, guaranteedAccelerators }) => !kept.has(name) && guaranteedAccelerators > 0)
+  return [
+    ...changed.map(({ name, guaranteedAccelerators }) => ({ account: name, accelerators: guaranteedAccelerators })),
+    ...removed.map(({ name }) => ({ account: name, accelerators: 0 }))
+  ]
+}
+
 /**
  * Accepts a job once; the same identifier again is the same job.
  * @param draft - the change under way
@@ -52,7 +66,7 @@
     started: false,
     gangs: specification.steps.map(gangsOf)
   })
-  draft.note({ kind: StepTransactionKind.SubmitSteps, account, job: identifier, state: StepJobState.Queued, queue })
+  draft.note({ kind: StepTransactionKind.SubmitSteps, account, job: identifier, state: StepJobState.Queued, queue, accelerators: firstStepAccelerators(specification) })
   return ok(undefined)
 }
 
--- a/src/core/steps/order.ts
+++ b/src/core/steps/order.ts
@@ -4,6 +4,7 @@
 import { stepJobEnded, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
 import { needOf, type TaskNeed } from './rooms'
 import { stepsDone } from './runs'
+import { firstStepAccelerators } from './specification'
 import type { GangKey } from './transactions'
 
 /** A job is worth something until so many times its objective have passed. */
@@ -106,7 +107,7 @@
   const left = new Map(accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
   const covered = new Set<string>()
   for (const job of urgentJobs(state)) {
-    const after = (left.get(job.account) ?? 0) - firstStepAccelerators(job)
+    const after = (left.get(job.account) ?? 0) - firstStepAccelerators(job.specification)
     if (after < 0) continue
     left.set(job.account, after)
     covered.add(job.identifier)
@@ -120,8 +121,3 @@
     .filter((job): job is StepJob => job !== undefined && !stepJobEnded(job) && queueOfJob(state, job).priority === 0)
     .sort((one, other) => one.acceptedAt - other.acceptedAt || (one.identifier < other.identifier ? -1 : 1))
 }
-
-function firstStepAccelerators ({ specification: { steps } }: StepJob): number {
-  const roots = steps.filter(({ after }) => after.length === 0)
-  return roots.reduce((sum, { accelerators, tasks }) => sum + accelerators * tasks, 0)
-}
--- a/src/core/steps/routing.ts
+++ b/src/core/steps/routing.ts
@@ -12,11 +12,22 @@
   readonly keyDigest: string
 }
 
+/** A queue by its name, for a caller whose account is known. */
+export interface NamedQueue {
+  readonly queue: string
+  /** Empty for an operator. */
+  readonly account: string
+  /** Identifier of a job, empty for the queue itself. */
+  readonly job: string
+}
+
 /** What an address stands for under the document in force. */
 export interface Route {
   readonly queue: Queue
-  /** Name of the caller's account; empty on a public queue without a known key. */
+  /** Name of the caller's account; empty on a public queue without a known key, and for operators. */
   readonly account: string
+  /** Jobs of all accounts may be seen and cancelled. */
+  readonly everyAccount: boolean
   /** What follows the prefix of the queue. */
   readonly rest: string
 }
@@ -37,7 +48,24 @@
   if (queue === undefined) return err(notRun(RefusalCode.UnknownQueue, 'no queue has this address'))
   const account = accountOf(document, address.keyDigest)
   if (account === undefined && !queue.public) return err(notRun(RefusalCode.Unauthorized, 'the key belongs to no account'))
-  return ok({ queue, account: account ?? '', rest: address.path.slice(queue.prefix.length) })
+  return ok({ queue, account: account ?? '', everyAccount: queue.public, rest: address.path.slice(queue.prefix.length) })
+}
+
+/**
+ * Finds a queue by its name.
+ * @param state - the jobs of steps, with the document in force
+ * @param named - the queue and who asks
+ * @returns queue and account; or the refusal, which says that nothing was run
+ */
+export function resolveQueue (state: StepState, named: NamedQueue): Result<Route, Refusal> {
+  const { queue: name, account, job } = named
+  if (state.document === undefined) return err(notRun(RefusalCode.Unavailable, 'no document is in force yet', NO_DOCUMENT_RETRY_MILLISECONDS))
+  const { queues, accounts } = state.document.document
+  const queue = queues.find((candidate) => candidate.name === name)
+  if (queue === undefined) return err(notRun(RefusalCode.UnknownQueue, `there is no queue ${name}`))
+  const known = account === '' || queue.public || accounts.some((candidate) => candidate.name === account)
+  if (!known) return err(notRun(RefusalCode.Unauthorized, `the queue document has no account ${account}`))
+  return ok({ queue, account, everyAccount: queue.public || account === '', rest: job })
 }
 
 /** The longest prefix wins. */
--- a/src/core/steps/specification.ts
+++ b/src/core/steps/specification.ts
@@ -63,3 +63,13 @@
   return Array.from({ length: step.tasks / size }, (_, position) => (
     { first: position * size, size, attempts: 0, failures: 0, checkpoint: '', done: false }))
 }
+
+/**
+ * The accelerators that a job needs to begin.
+ * @param job - what the caller handed in
+ * @returns the sum over all steps that wait for no other
+ */
+export function firstStepAccelerators (job: StepJobSpecification): number {
+  const roots = job.steps.filter(({ after }) => after.length === 0)
+  return roots.reduce((sum, { accelerators, tasks }) => sum + accelerators * tasks, 0)
+}
--- a/src/entry/entry-module.ts
+++ b/src/entry/entry-module.ts
@@ -5,12 +5,13 @@
 import { HealthController } from './health-controller'
 import { JobController } from './job-controller'
 import { JobService } from './job-service'
-import { Leader } from '../client/index'
+import { Leader, QueueClient } from '../client/index'
 import { EntryMetrics } from './metrics'
 import { OpenRequests } from './open-requests'
 import { OperationController } from './operation-controller'
 import { OperatorService } from './operator-service'
 import { PageController } from './page-controller'
+import { QueueController } from './queue-controller'
 
 /** What the controllers work with. */
 export interface EntryParts {
@@ -32,13 +33,14 @@
   static of (parts: EntryParts): DynamicModule {
     return {
       module: EntryModule,
-      controllers: [JobController, ConfigurationController, OperationController, PageController, HealthController],
+      controllers: [JobController, QueueController, ConfigurationController, OperationController, PageController, HealthController],
       providers: [
         JobService,
         OperatorService,
         { provide: ConfigurationCopy, useValue: parts.copy },
         { provide: FairGate, useValue: parts.gate },
         { provide: Leader, useValue: parts.leader },
+        { provide: QueueClient, useValue: QueueClient.create(parts.leader) },
         { provide: EntryMetrics, useValue: parts.metrics },
         { provide: OpenRequests, useValue: parts.open }
       ]
--- /dev/null
+++ b/test/queue-api.test.ts
@@ -0,0 +1,122 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { Writable } from 'node:stream'
+import { Cli } from 'clipanion'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Supervisor } from '../src/agent'
+import { createCommandLine } from '../src/command/command-line'
+import { KnownHosts } from '../src/client'
+import { ControlHost } from '../src/control'
+import { EntryHost } from '../src/entry/index'
+import { createLogger } from '../src/logging'
+import { WorkerClient, WorkerDoor } from '../platform'
+import { WorkerStandIn } from '../stand-ins'
+import { digestOf } from './fake-entry-control'
+import { send } from './entry-fixture'
+import { freePort } from './platform-fixture'
+import { until } from './until'
+
+let closers: Array<() => unknown> = []
+let entry: EntryHost
+let folder: string
+
+const queue = { name: 'proofs', host: 'proofs.example', prefix: '/proofs/', service: 'proofs', priority: 0, mostAttempts: 2, slackFactor: 1.5, targetLatencyMilliseconds: 250, timeoutMilliseconds: 3_000, public: false }
+const document = {
+  queues: [queue],
+  services: [{ name: 'proofs', guardsCapacity: false, standby: false }],
+  accounts: [{ name: 'hue', keys: [], guaranteedAccelerators: 8 }]
+}
+const teams = [
+  { name: 'operators', sections: ['clientAccounts', 'guarantees', 'jobs', 'limits', 'placement', 'maintenance', 'teams'], tokens: [digestOf('operator')] },
+  { name: 'readers', sections: ['limits'], tokens: [digestOf('reader')] }
+]
+const clientAccounts = [{ name: 'hue', share: 1, tokens: [digestOf('hue')] }, { name: 'other', share: 1, tokens: [digestOf('other')] }]
+const job = (payload: string, step: object = {}): object => ({ payload, steps: [{ tasks: 2, processors: 1_000, accelerators: 1, estimateMilliseconds: 50, ...step }] })
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'bramleyflow-queues-'))
+  const [control, workers] = [`127.0.0.1:${await freePort()}`, `127.0.0.1:${await freePort()}`]
+  const host = (await ControlHost.create({ host: 'control', address: control, folder, voters: [control], log: () => {} }))._unsafeUnwrap()
+  host.start()
+  const supervisor = Supervisor.create({ host: 'side', hosts: KnownHosts.create([control]), worker: WorkerClient.create(), log: () => {} })
+  const door = await WorkerDoor.open(workers, supervisor)
+  supervisor.start()
+  const worker = await WorkerStandIn.create('i-1')
+  entry = EntryHost.create({
+    host: 'entry', controlHosts: [control], logger: createLogger('entry', 'silent'), settings: { address: '127.0.0.1:0', stopDeadlineSeconds: 1, openRequestsPerAccount: 100, bootstrapTokenDigest: digestOf('first') }
+  })
+  await entry.start()
+  closers = [() => entry.stop(0), () => door.close(), () => supervisor.stop(), () => worker.close(), () => host.stop(), () => rm(folder, { recursive: true })]
+  await until(async () => (await send(entry, 'GET', '/readyz')).status === 200)
+  const sections = { clientAccounts, teams }
+  expect((await send(entry, 'PUT', '/configuration', { token: 'first', body: { requestIdentifier: 'first', read: { clientAccounts: 0, teams: 0 }, sections } })).status).toBe(200)
+  await until(async () => (await send(entry, 'GET', '/configuration', { token: 'operator' })).status === 200)
+  expect(await send(entry, 'PUT', '/queue-document', { token: 'operator', body: { number: 3, document } })).toMatchObject({ status: 200, json: { number: 3 } })
+  await send(entry, 'GET', '/readyz')
+  const beat = await fetch(`http://${workers}/instances/i-1/heartbeat`, { method: 'POST', body: JSON.stringify({ ...worker.heartbeat(), service: 'proofs' }) })
+  expect(beat.status).toBe(200)
+})
+
+afterEach(async () => { for (const close of closers) await close() })
+
+async function run (token: string, ...words: string[]): Promise<{ code: number, out: string, said: string }> {
+  const [out, said]: [string[], string[]] = [[], []]
+  const collect = (chunks: string[]): Writable => new Writable({ write: (chunk, _encoding, done) => { chunks.push(String(chunk)); done() } })
+  const code = await createCommandLine().run([...words, '--entry', entry.address, '--token', token], { ...Cli.defaultContext, stdout: collect(out), stderr: collect(said) })
+  return { code, out: out.join(''), said: said.join('') }
+}
+
+test('a job of steps is submitted, shown, cancelled and counted by the name of its queue', async () => {
+  expect(await send(entry, 'POST', '/queues/proofs/jobs/a', { token: 'hue', body: job('30') })).toMatchObject({ status: 202, json: { identifier: 'a', queue: 'proofs' } })
+  await until(async () => (await send(entry, 'GET', '/queues/proofs/jobs/a', { token: 'hue' })).json.state === 'completed')
+  expect((await send(entry, 'POST', '/queues/proofs/jobs/a', { token: 'hue', body: job('30') })).json.state).toBe('completed')
+  await send(entry, 'POST', '/queues/proofs/jobs/b', { token: 'hue', body: job('60000') })
+  await send(entry, 'POST', '/queues/proofs/jobs/c', { token: 'hue', body: job('20', { accelerators: 4_000 }) })
+  expect((await send(entry, 'GET', '/queues/proofs', { token: 'operator' })).json).toEqual({ queue: 'proofs', pending: 1 })
+  expect((await send(entry, 'DELETE', '/queues/proofs/jobs/b', { token: 'operator' })).json.state).toBe('cancelled')
+})
+
+test('who may not, and what is not valid, gets the reason and changes nothing', async () => {
+  const tries: Array<[string, string, string, string, unknown?]> = [
+    ['no token', 'GET', '/queues/proofs', ''],
+    ['account that the queue document does not name', 'POST', '/queues/proofs/jobs/x', 'other', job('1')],
+    ['operator submits', 'POST', '/queues/proofs/jobs/x', 'operator', job('1')],
+    ['unknown queue', 'POST', '/queues/none/jobs/x', 'hue', job('1')],
+    ['unknown field', 'POST', '/queues/proofs/jobs/x', 'hue', job('1', { gpu: 1 })],
+    ['unknown job', 'GET', '/queues/proofs/jobs/x', 'hue'],
+    ['caller reads the document', 'GET', '/queue-document', 'hue'],
+    ['team without the section', 'PUT', '/queue-document', 'reader', { number: 9, document }],
+    ['invalid document', 'PUT', '/queue-document', 'operator', { number: 9, document: { ...document, services: [] } }],
+    ['no number', 'PUT', '/queue-document', 'operator', { document }]
+  ]
+  const answers = []
+  for (const [name, method, path, token, body] of tries) {
+    const { status, json } = await send(entry, method, path, { token: token === '' ? undefined : token, body })
+    answers.push([name, status, json.code, json.verdict, json.problems.map((problem: { path: string }) => problem.path).join(' ')])
+  }
+  expect(answers).toMatchSnapshot()
+  expect((await send(entry, 'GET', '/queue-document', { token: 'reader' })).json).toEqual({ number: 3, source: JSON.stringify(document) })
+})
+
+test('the command line goes from a job to its explanation and its account', async () => {
+  const file = join(folder, 'job.json')
+  await writeFile(file, JSON.stringify(job('20')))
+  expect(await run('hue', 'queue', 'submit', 'proofs', 'e', '--file', file)).toMatchObject({ code: 0 })
+  await until(async () => (await run('hue', 'queue', 'show', 'proofs', 'e')).out === 'e  proofs  completed\n')
+  await writeFile(file, JSON.stringify(job('fail')))
+  await run('hue', 'queue', 'submit', 'proofs', 'f', '--file', file)
+  await until(async () => (await run('hue', 'queue', 'show', 'proofs', 'f')).out === 'f  proofs  failed\n')
+  const words = (text: string): string => text.replace(/\d{4}-\S+Z +\d+/g, 'AT').replace(/\d+\.\d{3} s/g, 'N s')
+  expect(words((await run('operator', 'job', 'explain', 'f')).out)).toMatchSnapshot()
+  expect(await run('operator', 'job', 'explain', 'nobody')).toMatchObject({ code: 7, said: expect.stringContaining('does not know job nobody') })
+  const statement = (await run('operator', 'audit', 'account', 'hue')).out
+  expect(statement).toContain('queue document 3: 8 accelerators at all times for jobs of priority 0')
+  expect(statement).toContain('Jobs: 2 accepted, 1 finished once, 0 finished more than once')
+  expect(await run('hue', 'queue', 'cancel', 'proofs', 'e')).toMatchObject({ out: 'e  proofs  completed\n' })
+  expect(await run('operator', 'queue', 'pending', 'proofs')).toMatchObject({ code: 0, out: '0\n' })
+  const documentFile = join(folder, 'document.json')
+  await writeFile(documentFile, JSON.stringify(document))
+  expect(await run('operator', 'queue', 'document', 'put', documentFile, '--number', '4')).toMatchObject({ code: 0, out: 'accepted 4\n' })
+  expect((await run('operator', 'queue', 'document', 'get')).out).toContain('number 4')
+})
