Run control on every disk of a zone, and found past seeds without one

Cause: on the grown Sông Hương deployment control ran on three of six disks, while the settings state that two may be lost at once. Ruled out: the repair, which had nobody to promote. Change: the control role takes a share of each zone's entry hosts, which takes one host without a disk on small zones; such a host now says so, and founding passes it over where it is a seed. Tests, both failing before: test/agreement-replica (a diskless first seed: no cluster was ever founded), test/deploy-template.

--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -1,7 +1,7 @@
 /** The roles as the users' platform runs them: each with the platform's door in front of it. */
 import type { EntryHost } from '../entry/index'
 import { createLogger } from '../logging'
-import { Role, controlHostsOf, type DeploymentSettings, type Settings, type TlsFiles } from '../settings/index'
+import { Role, controlAddressOf, controlHostsOf, type DeploymentSettings, type Settings, type TlsFiles } from '../settings/index'
 import { logTo, startControl, startEntryHost, type RunningRole, type StartRole } from './roles'
 
 /** Time for open answers of the operator, and for the streams of an agent, to end. */
@@ -44,20 +44,41 @@
   }
 }
 
+interface Running {
+  readonly stopDeadlineMilliseconds: number
+  readonly stop: (deadlineMilliseconds: number) => Promise<readonly string[]>
+}
+
+async function startDiskless (settings: Settings, tls: TlsFiles | undefined): Promise<Running> {
+  const { DisklessPeer } = await import('../control/diskless')
+  const { mutualCredentials } = await import('./credentials')
+  const address = controlAddressOf(deploymentOf(settings))
+  const listening = await DisklessPeer.listen(address, mutualCredentials(tls).serverCredentials)
+  if (listening.isErr()) throw listening.error
+  createLogger(Role.Control, settings.logLevel).info('diskless', { address })
+  return {
+    stopDeadlineMilliseconds: 0,
+    stop: async () => {
+      listening.value.close()
+      return await Promise.resolve([])
+    }
+  }
+}
+
 /** A control host without a disk keeps nothing: its door asks the leader. */
 async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { OperatorDoor } = await import('../../platform/operator')
-  const control = settings.control === undefined ? undefined : await startControl(settings, tls)
+  const control = settings.control === undefined ? await startDiskless(settings, tls) : await startControl(settings, tls)
   const { hosts, channels, leader } = connectControl(KnownHosts.createSpread(settings.controlHosts), createLogger(Role.Control, settings.logLevel), tls)
   const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
   return {
     role: Role.Control,
-    stopDeadlineMilliseconds: (control?.stopDeadlineMilliseconds ?? 0) + SHORT_STOP_MILLISECONDS,
+    stopDeadlineMilliseconds: control.stopDeadlineMilliseconds + SHORT_STOP_MILLISECONDS,
     stop: async (deadlineMilliseconds) => {
       await door.close()
       channels.close()
-      return await control?.stop(deadlineMilliseconds) ?? []
+      return await control.stop(deadlineMilliseconds)
     },
     reload: (fresh) => { hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
   }
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -408,8 +408,8 @@
   }
 
   /**
-   * A host of no cluster: the first of the bootstrap list founds one, but only when every other of the list says
-   * that it belongs to none. In all other cases it asks to be added as a learner.
+   * A host of no cluster: the first of the bootstrap list that has a disk founds one, but only when every other of the
+   * list says that it belongs to none. In all other cases it asks to be added as a learner.
    */
   private async enter (): Promise<void> {
     const { bootstrap, address } = this.options
@@ -419,7 +419,9 @@
     if (this.stopped || this.founding || this.state.cluster !== '') return
     const inCluster = known.find((answer) => answer.cluster !== '')
     if (inCluster !== undefined) { await this.askToJoin(inCluster.leader === '' ? inCluster.address : inCluster.leader); return }
-    if (this.options.founding !== false && bootstrap[0] === address && known.length === others.length) await this.found(known)
+    const storing = known.filter(({ diskless }) => !diskless)
+    const first = bootstrap.find((candidate) => candidate === address || storing.some((answer) => answer.address === candidate))
+    if (this.options.founding !== false && first === address && known.length === others.length) await this.found(storing)
   }
 
   private async askToJoin (address: string): Promise<void> {
@@ -442,7 +444,7 @@
   }
 
   private identify (): IdentifyReply {
-    return { identity: this.state.identity, cluster: this.founding ? 'founding' : this.state.cluster, leader: this.leaderAddress() ?? '' }
+    return { identity: this.state.identity, cluster: this.founding ? 'founding' : this.state.cluster, leader: this.leaderAddress() ?? '', diskless: false }
   }
 
   private onJoin (request: JoinRequest): JoinReply {
--- a/src/settings/deployment.ts
+++ b/src/settings/deployment.ts
@@ -28,7 +28,7 @@
   const filled: Settings = { ...settings, controlHosts }
   if (roles.includes(Role.Entry)) filled.entry ??= { address: inner(deployment, InnerPort.Entry), stopDeadlineSeconds: stopSeconds(deployment), openRequestsPerAccount: 1_000 }
   if (roles.includes(Role.Control) && deployment.folder !== undefined) {
-    filled.control ??= { address: inner(deployment, InnerPort.Control), folder: deployment.folder, voters: controlHosts, metrics: `${deployment.ip}:${CONTROL_METRICS_PORT}` }
+    filled.control ??= { address: controlAddressOf(deployment), folder: deployment.folder, voters: controlHosts, metrics: `${deployment.ip}:${CONTROL_METRICS_PORT}` }
   }
   return filled
 }
@@ -44,6 +44,15 @@
   return (hosts.length > 0 ? hosts : [ip]).map((host) => `${host}:${innerPorts[0] + InnerPort.Control}`)
 }
 
+/**
+ * Where a control host listens for the system's own processes.
+ * @param deployment - the section
+ * @returns IP number and port
+ */
+export function controlAddressOf (deployment: DeploymentSettings): string {
+  return inner(deployment, InnerPort.Control)
+}
+
 /**
  * The bytes that the audit record may take.
  * @param deployment - the section
--- a/test/agreement-replica.test.ts
+++ b/test/agreement-replica.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, expect, test } from 'vitest'
+import { DisklessPeer } from '../src/control/diskless'
 import { Replica, Role, type CommittedEntry } from '../src/control/replica'
 
 interface Host {
@@ -29,13 +30,14 @@
   })
 }
 
-async function startHost (folder: string, address: string, bootstrap: readonly string[]): Promise<Host> {
+async function startHost (folder: string, address: string, bootstrap: readonly string[], wantedVoters?: number): Promise<Host> {
   const server = new Server()
   const committed: CommittedEntry[] = []
   const created = await Replica.create({
     folder,
     address,
     bootstrap,
+    wantedVoters,
     host: address,
     server,
     onCommit: (entries) => { committed.push(...entries) },
@@ -114,3 +116,23 @@
   await until(() => texts(renewed).length === 2 ? true : undefined)
   expect(texts(renewed)).toEqual(['before', 'after'])
 })
+
+test('a seed without a disk is passed over, and hosts that no seed names bring the voters to the number that is wanted', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'bramleyflow-'))
+  const addresses = await Promise.all([0, 1, 2, 3, 4, 5, 6].map(async () => `127.0.0.1:${await freePort()}`))
+  const [diskless = '', ...stores] = addresses
+  const seeds = [diskless, ...stores.slice(0, 2)]
+  const hosts = await Promise.all(stores.map(async (address, position) => await startHost(join(folder, String(position)), address, seeds, 5)))
+  const peer = (await DisklessPeer.listen(diskless))._unsafeUnwrap()
+  cleanups.push(async () => {
+    peer.close()
+    for (const host of hosts) await stopHost(host)
+    await rm(folder, { recursive: true })
+  })
+  const leader = await until(() => leaderOf(hosts))
+  const members = await until(() => {
+    const found = leader.replica.status().members
+    return found.length === 6 && found.filter(({ voter }) => voter).length === 5 ? found : undefined
+  })
+  expect(members.map(({ address }) => address).sort()).toEqual([...stores].sort())
+})
--- a/test/deploy-template.test.ts
+++ b/test/deploy-template.test.ts
@@ -48,3 +48,12 @@
   const settings = JSON.parse(render(template, [{ ...roles.entry, seeds: ['somewhere'], fault_tolerance: { machines: 9 } }])) as unknown
   expect(checkSettings(settings)._unsafeUnwrapErr().map(({ path }) => path)).toEqual(['/deployment/seeds/0', '/deployment/hostsLostAtOnce'])
 })
+
+test('control runs on every disk that a zone has, so that as many may be lost as the settings state', () => {
+  const [, share] = /\[roles\.control\][^[]*\nshare = ([\d.]+)/.exec(readFileSync('deploy/system.toml', 'utf8')) ?? []
+  expect(share).toBeDefined()
+  const taken = (hosts: number): number => Math.ceil(Number(share) * hosts)
+  const zones = [{ disks: 1, hosts: [1, 2, 3, 4, 5, 6, 7] }, { disks: 2, hosts: [3, 4, 5, 6, 7] }]
+  const missed = zones.flatMap(({ disks, hosts }) => hosts.filter((count) => taken(count) < disks).map((count) => `${disks} of ${count}`))
+  expect(missed).toEqual([])
+})
