Find a leader that is in no list by the word of a host that follows it

Cause: entries' and operators' doors asked only the hosts of their settings and, in entries, those that a leader named on the document stream; the door of a control host learned none. Ruled out: the election (leading 1.6 s after the fault) and the entries (15 of 15 had found the leader). Change: the search goes on to the leader that a refusal names, the leader's confirmation carries the present control hosts, and a control host's door asks its own replica as well. Test: test/queue-client, failed before (not found).

--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -89,15 +89,25 @@
   }
 
   private async search (): Promise<string | undefined> {
-    const asked = this.leader.addresses.map(async (address) => {
-      const reply = await this.leader.ask(address, ControlService.confirm, {}, CONFIRM_MILLISECONDS)
-      if (reply instanceof BrokenCall || reply.refusal !== undefined) throw new Error(`${address} does not lead`)
-      return address
-    })
-    const found = await Promise.any(asked).catch(() => undefined)
+    const asked = new Set(this.leader.addresses)
+    const found = await Promise.any([...asked].map(async (address) => await this.confirmed(address, asked))).catch(() => undefined)
     if (found !== undefined) this.leader.heard(found)
     return found
   }
+
+  /** A host that does not lead may name one that is in no list yet. Rejects where neither leads. */
+  private async confirmed (address: string, asked: Set<string>): Promise<string> {
+    const reply = await this.leader.ask(address, ControlService.confirm, {}, CONFIRM_MILLISECONDS)
+    if (reply instanceof BrokenCall) throw reply
+    if (reply.refusal === undefined) {
+      this.leader.learnHosts(reply.controlHosts)
+      return address
+    }
+    const { leader } = reply.refusal
+    if (leader === '' || asked.has(leader)) throw new BrokenCall('not the leader', false)
+    asked.add(leader)
+    return await this.confirmed(leader, asked)
+  }
 }
 
 /** The outcome of a promise, or nothing where it takes too long. */
--- a/src/client/leader.ts
+++ b/src/client/leader.ts
@@ -125,6 +125,14 @@
   /** All addresses at which control hosts may be. */
   get addresses (): readonly string[] { return this.hosts.all }
 
+  /**
+   * Takes the present control hosts from a leader that confirmed itself: those of the settings may all be gone.
+   * @param addresses - IP numbers and ports
+   */
+  learnHosts (addresses: readonly string[]): void {
+    this.hosts.learn(addresses)
+  }
+
   /**
    * Notes that a host did not answer as leader; the next one is asked.
    * @param address - the host
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -65,12 +65,17 @@
   }
 }
 
+/** The host's own replica knows the leader even where all seeds are gone. */
+function askedHosts ({ controlHosts, control }: Settings): string[] {
+  return [...new Set([...controlHosts, ...control === undefined ? [] : [control.address]])]
+}
+
 /** A control host without a disk keeps nothing: its door asks the leader. */
 async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { OperatorDoor } = await import('../../platform/operator')
   const control = settings.control === undefined ? await startDiskless(settings, tls) : await startControl(settings, tls)
-  const { hosts, channels, leader } = connectControl(KnownHosts.createSpread(settings.controlHosts), createLogger(Role.Control, settings.logLevel), tls)
+  const { hosts, channels, leader } = connectControl(KnownHosts.createSpread(askedHosts(settings)), createLogger(Role.Control, settings.logLevel), tls)
   const door = await OperatorDoor.open({ address: doorAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
   return {
     role: Role.Control,
@@ -80,7 +85,7 @@
       channels.close()
       return await control.stop(deadlineMilliseconds)
     },
-    reload: (fresh) => { hosts.reseed(controlHostsOf(deploymentOf(fresh))) }
+    reload: (fresh) => { hosts.reseed(askedHosts({ ...settings, controlHosts: controlHostsOf(deploymentOf(fresh)) })) }
   }
 }
 
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -19,6 +19,8 @@
   readonly supervise: (call: SupervisorCall) => void
   readonly countRefusal: (account: string, refusal: Refusal) => void
   readonly status: () => wire.StatusReply
+  /** Addresses of the present control hosts. */
+  readonly controlHosts: () => readonly string[]
   readonly changeMembers: (request: wire.ChangeMembersRequest) => Promise<wire.ChangeMembersReply>
   readonly recordFrom: (sequence: number) => Iterable<string>
   readonly waiters: Waiters
@@ -51,7 +53,7 @@
     changeMembers: unary(ports, (request) => ports.changeMembers(request), (refusal) => ({ refusal, members: [] })),
     exportRecord: (call) => { exportRecord(ports, call) },
     supervise: (call) => { ports.supervise(call) },
-    confirm: unary<wire.ConfirmRequest, wire.ConfirmReply>(ports, () => Promise.resolve({ refusal: undefined }), (refusal) => ({ refusal })),
+    confirm: unary<wire.ConfirmRequest, wire.ConfirmReply>(ports, () => Promise.resolve({ refusal: undefined, controlHosts: [...ports.controlHosts()] }), (refusal) => ({ refusal, controlHosts: [] })),
     queue: direct((request) => answerQueue(ports, request)),
     replaceDocument: direct((request) => replaceDocument(ports, request)),
     readDocument: direct(() => readDocument(ports))
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -341,6 +341,7 @@
       follow: (call) => { this.follow(call) },
       countRefusal: (account, refusal) => { this.countRefusal(account, refusal) },
       status: () => this.status(),
+      controlHosts: () => this.controlHosts(),
       changeMembers: (request) => this.changeMembers(request),
       recordFrom: (sequence) => this.record.from(sequence),
       waiters: this.waiters
--- a/test/fake-entry-control.ts
+++ b/test/fake-entry-control.ts
@@ -182,7 +182,7 @@
     return {
       attach: (stream) => stream.end(),
       supervise: (stream) => stream.end(),
-      confirm: unary(() => ({ refusal: this.refusal() })),
+      confirm: unary(() => ({ refusal: this.refusal(), controlHosts: [] })),
       queue: unary(() => QueueReply.fromPartial({ refusal: refusalOf('unknown-queue') })),
       replaceDocument: unary(() => DocumentReply.fromPartial({})),
       readDocument: unary(() => DocumentReply.fromPartial({})),
--- a/test/queue-client.test.ts
+++ b/test/queue-client.test.ts
@@ -40,7 +40,7 @@
 
 test('without a leader nothing is sent, and the refusal says so well before the caller gives up', async () => {
   let sent = 0
-  const follower = await host((_call, callback) => { callback(null, { refusal }) }, () => { sent += 1 })
+  const follower = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial({ refusal })) }, () => { sent += 1 })
   const began = performance.now()
   const answer = await clientOf([await darkHost(), follower, await darkHost()]).ask(call)
   expect(answer._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
@@ -49,20 +49,20 @@
 })
 
 test('a dark host does not keep a request from the leader', async () => {
-  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, (_call, callback) => { callback(null, QueueReply.fromPartial({ state: 'queued' })) })
+  const leader = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial({})) }, (_call, callback) => { callback(null, QueueReply.fromPartial({ state: 'queued' })) })
   const answer = await clientOf([await darkHost(), await darkHost(), leader]).ask(call)
   expect(answer._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
 })
 
 test('a request that may have arrived is never said not to have run', async () => {
-  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, () => {})
+  const leader = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial({})) }, () => {})
   const answer = await clientOf([leader]).ask({ ...call, patienceMilliseconds: 1_000 })
   expect(answer._unsafeUnwrapErr().verdict).toBe(Verdict.MayHaveRun)
 })
 
 test('a request that may have arrived is settled at the next leader', async () => {
   let asked = 0
-  const leader = await host((_call, callback) => { callback(null, { refusal: undefined }) }, (_call, callback) => {
+  const leader = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial({})) }, (_call, callback) => {
     asked += 1
     if (asked > 1) callback(null, QueueReply.fromPartial({ state: 'running' }))
   })
@@ -85,3 +85,18 @@
   await client.ask(call)
   expect(performance.now() - began).toBeLessThan(400)
 })
+
+test('a leader that no setting names is found by a follower\'s word, and later without that follower', async () => {
+  const others: string[] = []
+  const leader = await host(
+    (_call, callback) => { callback(null, ConfirmReply.fromPartial({ controlHosts: others })) },
+    (_call, callback) => { callback(null, QueueReply.fromPartial({ state: 'queued' })) })
+  others.push(leader)
+  let names = true
+  const follower = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial({ refusal: { ...refusal, leader: names ? leader : '' } })) }, () => {})
+  const client = clientOf([follower, await darkHost()])
+  expect((await client.ask(call))._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
+  names = false
+  await new Promise((resolve) => { setTimeout(resolve, 400) })
+  expect((await client.ask(call))._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
+})
