Let work that can still be in time pass work of its priority that is late

Cause: in a burst beyond the capacity, first come first served makes each later job late behind one that is late already.

--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import {
   checkQueueDocument, checkStepJob, notRun, pendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
-  type Refusal, type Route, type State, type StepJob, type Transaction
+  type Refusal, type Route, type State, type StepJob, type StepSpecification, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { toWireRefusal } from './convert'
@@ -25,6 +25,9 @@
 /** Milliseconds after which a caller may ask again while leadership moves. */
 const LEADER_RETRY_MILLISECONDS = 200
 
+/** Steps of an accepted job that its log line tells of. */
+const LOGGED_STEPS = 4
+
 /** What a job may be called: a part of a path that needs no escapes. */
 const JOB_IDENTIFIER = /^[0-9A-Za-z_-]{1,64}$/
 
@@ -72,9 +75,17 @@
   const outcome = await ports.submit({
     kind: StepTransactionKind.SubmitSteps, at: ports.now(), identifier: rest, account, queue: queue.name, specification: checked.value
   })
+  if (outcome.isOk()) ports.log('job-accepted', { job: rest, account, queue: queue.name, steps: checked.value.steps.slice(0, LOGGED_STEPS).map(shapeOf) })
   return outcome.map(() => ({ state: stateOf(ports, rest) }))
 }
 
+/** What decides where a step can run, short enough for a log line. */
+function shapeOf ({ tasks, accelerators, processors, gang, sameRack, checkpoints, mostPerWorker, label, dataRack, after }: StepSpecification): object {
+  return {
+    tasks, accelerators, processors, ...gang && { gang }, ...sameRack && { sameRack }, ...checkpoints && { checkpoints }, ...mostPerWorker > 0 && { mostPerWorker }, ...label !== '' && { label }, ...dataRack !== '' && { dataRack }, ...after.length > 0 && { after }
+  }
+}
+
 async function show (ports: QueuePorts, route: Route): Promise<Answer> {
   if (!await ports.confirm()) return err(notLeading)
   if (route.rest === '') return ok({ pending: pendingJobs(ports.committed().steps, route.queue.name) })
--- a/src/core/steps/order.ts
+++ b/src/core/steps/order.ts
@@ -20,16 +20,26 @@
   readonly gang: Gang
   /** The accelerators are its account's own by guarantee. */
   readonly guaranteed: boolean
-  /** Too late to be worth anything, even if it started now. */
-  readonly hopeless: boolean
+  readonly prospect: Prospect
+}
+
+/** What a job can still be worth if its work starts now, the best first. */
+export enum Prospect {
+  /** Completed within its objective. */
+  InTime,
+  /** Completed late, for a part of its worth. */
+  Late,
+  /** Too late to be worth anything. */
+  Hopeless
 }
 
 /**
- * Lists the waiting gangs, first come first served within their class.
+ * Lists the waiting gangs, first come first served within their class. In a burst beyond the capacity, work that is late
+ * already lets pass what can still be in time: one late job then does not make all that come after it late as well.
  * @param state - the jobs of steps
  * @param guaranteed - see {@link guaranteedJobs}
  * @param now - milliseconds since the epoch
- * @returns by priority, with hopeless ones after all others; guaranteed ones first; then by age
+ * @returns by priority, with hopeless ones after all others; guaranteed ones first; then by prospect, then by age
  */
 export function waitingGangs (state: StepState, guaranteed: ReadonlySet<string>, now: number): WaitingGang[] {
   const waiting: WaitingGang[] = []
@@ -43,14 +53,14 @@
 
 function waitingOf (state: StepState, job: StepJob, guaranteed: boolean, now: number): WaitingGang[] {
   const queue = queueOfJob(state, job)
-  const hopeless = now + remainingMilliseconds(job) > job.acceptedAt + WORTH_UNTIL_OBJECTIVES * objectiveMilliseconds(job, queue)
+  const prospect = prospectOf(job, queue, now)
   return job.specification.steps.flatMap((step, number) => {
     if (!stepsDone(job, step.after)) return []
     const gangs = job.gangs[number] ?? []
     const need = needOf(job.identifier, number, step)
     return gangs.flatMap((gang, position): WaitingGang[] => {
       if (gang.done || gang.run !== undefined) return []
-      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, need, gang, guaranteed, hopeless }]
+      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, need, gang, guaranteed, prospect }]
     })
   })
 }
@@ -58,6 +68,7 @@
 function compare (one: WaitingGang, other: WaitingGang): number {
   return compareRanks(rankOf(one), rankOf(other)) ||
     Number(other.guaranteed) - Number(one.guaranteed) ||
+    one.prospect - other.prospect ||
     one.job.acceptedAt - other.job.acceptedAt ||
     (one.job.identifier < other.job.identifier ? -1 : Number(one.job.identifier > other.job.identifier)) ||
     one.key.step - other.key.step || one.key.gang - other.key.gang
@@ -69,8 +80,15 @@
 }
 
 /** Work that is worth nothing any more runs when nothing else wants the room; urgent work keeps its place. */
-function rankOf ({ queue, hopeless }: WaitingGang): number {
-  return hopeless && queue.priority > 0 ? Infinity : queue.priority
+function rankOf ({ queue, prospect }: WaitingGang): number {
+  return prospect === Prospect.Hopeless && queue.priority > 0 ? Infinity : queue.priority
+}
+
+function prospectOf (job: StepJob, queue: Queue, now: number): Prospect {
+  const took = now + remainingMilliseconds(job) - job.acceptedAt
+  const objective = objectiveMilliseconds(job, queue)
+  if (took <= objective) return Prospect.InTime
+  return took <= WORTH_UNTIL_OBJECTIVES * objective ? Prospect.Late : Prospect.Hopeless
 }
 
 /**
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -169,3 +169,29 @@
   world.submit('fresh', [step({ accelerators: 8 })], 'later')
   expect(decide(world)).toEqual(['start fresh on a'])
 })
+
+test('in a burst, work that is late lets pass what can still be in time', () => {
+  const world = StepWorld.create([worker('a')])
+  const whole = step({ accelerators: 8, estimateMilliseconds: 2_000 })
+  world.submit('running', [whole])
+  decide(world)
+  world.submit('late', [whole])
+  world.now += 3_000
+  world.submit('fresh', [whole])
+  world.end('a@1', { job: 'running', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
+  expect(decide(world)).toEqual(['start fresh on a'])
+  world.end('a@1', { job: 'fresh', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
+  expect(decide(world)).toEqual(['start late on a'])
+})
+
+test('an account\'s guarantee comes first however late its work is', () => {
+  const world = StepWorld.create([worker('a')])
+  const whole = step({ accelerators: 8, estimateMilliseconds: 2_000 })
+  world.submit('running', [whole], 'urgent', 'one')
+  decide(world)
+  world.submit('owner', [whole], 'urgent', 'one')
+  world.now += 4_000
+  world.submit('fresh', [whole], 'urgent', 'two')
+  world.end('a@1', { job: 'running', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
+  expect(decide(world)).toEqual(['start owner on a'])
+})
