--- a/src/command/audit.ts
+++ b/src/command/audit.ts
@@ -1,12 +1,24 @@
 import { Command, Option } from 'clipanion'
 import type { RecordHead } from '../core/state'
+import type { EntryRequest } from './entry-client'
 import { EntryCommand, readTextFile, UsageProblem } from './entry-command'
 import { ExitCode } from './exit-code'
 
-const recordFrom = (sequence: string): { method: 'GET', path: string, patient: boolean } =>
-  ({ method: 'GET', path: `/audit?from=${encodeURIComponent(sequence)}`, patient: true })
+/**
+ * The request for the audit trail.
+ * @param sequence - first sequence number
+ * @returns the request; its answer may take long
+ */
+export function recordFrom (sequence: string): EntryRequest {
+  return { method: 'GET', path: `/audit?from=${encodeURIComponent(sequence)}`, patient: true }
+}
 
-function linesOf (text: string): string[] {
+/**
+ * The lines of an export.
+ * @param text - the whole export
+ * @returns its lines without empty ones
+ */
+export function linesOf (text: string): string[] {
   return text.split('\n').filter((line) => line !== '')
 }
 
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -44,12 +44,7 @@
   }
 }
 
-interface Running {
-  readonly stopDeadlineMilliseconds: number
-  readonly stop: (deadlineMilliseconds: number) => Promise<readonly string[]>
-}
-
-async function startDiskless (settings: Settings, tls: TlsFiles | undefined): Promise<Running> {
+async function startDiskless (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
   const { DisklessPeer } = await import('../control/diskless')
   const { mutualCredentials } = await import('./credentials')
   const address = controlAddressOf(deploymentOf(settings))
@@ -57,6 +52,7 @@
   if (listening.isErr()) throw listening.error
   createLogger(Role.Control, settings.logLevel).info('diskless', { address })
   return {
+    role: Role.Control,
     stopDeadlineMilliseconds: 0,
     stop: async () => {
       listening.value.close()
--- a/src/command/job.ts
+++ b/src/command/job.ts
@@ -2,6 +2,7 @@
 import { readFile } from 'node:fs/promises'
 import { Command, Option } from 'clipanion'
 import type { JobView } from '../entry/job-view'
+import { linesOf, recordFrom } from './audit'
 import type { EntryAnswer } from './entry-client'
 import { jsonOf } from './entry-client'
 import { EntryCommand, readJsonFile, readTextFile, table, UsageProblem, wholeNumber } from './entry-command'
@@ -183,12 +184,12 @@
 
   protected override async run (): Promise<ExitCode> {
     if (this.file !== undefined) return await this.report(await readTextFile(this.file))
-    return await this.ask({ method: 'GET', path: '/audit', patient: true }, async (answer) => await this.report(answer.body.toString()))
+    return await this.ask(recordFrom('0'), async (answer) => await this.report(answer.body.toString()))
   }
 
   private async report (text: string): Promise<ExitCode> {
     const { accountStatement, accountOfJob, lineOfStatement } = await import('../core/account-statement')
-    const lines = text.split('\n').filter((line) => line !== '')
+    const lines = linesOf(text)
     const account = accountOfJob(lines, this.identifier)
     if (account === undefined) {
       this.complain(`the audit trail does not know job ${this.identifier}: it was refused before it was accepted, or its lines are no longer kept`)
