Let work that loses nothing by a stop go first while urgent work keeps coming

The queue of a job is now looked up by an index, as a document may name over a thousand queues. Conclusion: kept as an order only; no room stands empty for it.

--- a/measurements/step-replay.ts
+++ b/measurements/step-replay.ts
@@ -30,6 +30,13 @@
 export interface Load {
   readonly workers: number
   readonly workerProcessors: number
+  readonly workerMegabytes: number
+  readonly workersPerRack: number
+  /** Accelerators that the accounts are guaranteed, as a share of all. */
+  readonly guaranteedShare: number
+  readonly accounts: number
+  /** All workers lose what runs at this time, in seconds. */
+  readonly powerLossAt?: number
   readonly stopMilliseconds: number
   readonly reclaimMilliseconds: number
   readonly kinds: Readonly<Record<string, Kind>>
@@ -47,10 +54,8 @@
 const RESTORE_MILLISECONDS = 600
 const SPREAD_RACKS_FACTOR = 3
 const PROCESSORS_PER_ACCELERATOR = 8_000
-const ACCOUNTS = 4
-const WORKER_MEGABYTES = 131_072
 const WAVE_SHARE = 0.25
-const GUARANTEED = 14
+const ACCELERATORS = 8
 
 interface Run { key: RunKey, incarnation: string, done: number, work: number, factor: number, checkpoints: boolean, weight: number, began: number, restoring: number, stoppedAt?: number, saved: number }
 interface Submitted { kind: Kind, name: string, at: number, objective: number, worth: number, size: number, work: number[][] }
@@ -97,6 +102,7 @@
       this.now = start + seconds * 1_000
       if (seconds < ARRIVAL_SECONDS) this.arrive(seconds)
       this.advance(seconds)
+      if (Math.abs(seconds - (this.load.powerLossAt ?? -1)) < TICK_MILLISECONDS / 2_000) this.losePower()
       this.decide()
     }
     return this.result(start)
@@ -112,13 +118,15 @@
     const queues = Object.entries(this.load.kinds).map(([name, kind]) => ({
       name, host: 'h', prefix: `/${name}/`, service: 's', priority: kind.priority, mostAttempts: 4, slackFactor: kind.slackFactor, targetLatencyMilliseconds: kind.targetMilliseconds, timeoutMilliseconds: 3_000, public: false
     }))
-    const accounts = Array.from({ length: ACCOUNTS }, (_, number) => ({ name: `account${number}`, keys: [], guaranteedAccelerators: GUARANTEED }))
+    const { workers, accounts: count, guaranteedShare } = this.load
+    const guaranteedAccelerators = Math.floor(workers * ACCELERATORS * guaranteedShare / count)
+    const accounts = Array.from({ length: count }, (_, number) => ({ name: `account${number}`, keys: [], guaranteedAccelerators }))
     const document = { queues, services: [{ name: 's', guardsCapacity: false, standby: false }], accounts }
     this.take({ kind: StepTransactionKind.ReplaceDocument, at: this.now, number: 1, documentJson: JSON.stringify(document), source: '' })
     for (let number = 0; number < this.load.workers; number++) {
       const name = `w${String(number).padStart(3, '0')}`
-      const rack = `r${Math.floor(number / 3)}`
-      this.take({ kind: StepTransactionKind.AnnounceLife, at: this.now, life: { incarnation: name, worker: name, host: name, service: 's', dataCentre: 'd', rack, labels: ['a', rack], processors: this.load.workerProcessors, memoryMegabytes: WORKER_MEGABYTES, accelerators: 8 } })
+      const rack = `r${Math.floor(number / this.load.workersPerRack)}`
+      this.take({ kind: StepTransactionKind.AnnounceLife, at: this.now, life: { incarnation: name, worker: name, host: name, service: 's', dataCentre: 'd', rack, labels: ['a', rack], processors: this.load.workerProcessors, memoryMegabytes: this.load.workerMegabytes, accelerators: ACCELERATORS } })
     }
   }
 
@@ -145,7 +153,7 @@
         tasks, processors: kind.processors, memoryMegabytes: kind.memoryMegabytes, accelerators, estimateMilliseconds: Math.round(this.random.aroundMedian(mean, kind.estimateSpread)), after: number > 0 ? [number - 1] : [], gang, sameRack: gang && this.random.chance(0.6), label: '', dataRack: '', mostPerWorker: 0, checkpoints
       })
     }
-    const account = `account${this.random.integer(0, ACCOUNTS - 1)}`
+    const account = `account${this.random.integer(0, this.load.accounts - 1)}`
     this.take({ kind: StepTransactionKind.SubmitSteps, at: this.now, identifier, account, queue: name, specification: { payload: '', steps } })
     const size = steps.reduce((sum, step, number) => sum + weightOf(step) * (work[number] ?? []).reduce((total, one) => total + one, 0) / 1_000, 0)
     const meanSize = kind.tasks * (1 + kind.secondStepShare) * kind.taskMilliseconds / 1_000 * weightOf({ processors: kind.processors, accelerators: kind.accelerators.reduce((sum, one) => sum + one, 0) / kind.accelerators.length })
@@ -155,8 +163,8 @@
 
   /** A step that is wider than a quarter of the fleet is expected in waves. */
   private waves ({ tasks, processors, memoryMegabytes, accelerators }: StepSpecification): number {
-    const { workers, workerProcessors } = this.load
-    const room = Math.max(processors / workerProcessors, memoryMegabytes / WORKER_MEGABYTES, accelerators / 8)
+    const { workers, workerProcessors, workerMegabytes } = this.load
+    const room = Math.max(processors / workerProcessors, memoryMegabytes / workerMegabytes, accelerators / ACCELERATORS)
     return Math.max(1, Math.ceil(tasks * room / (workers * WAVE_SHARE)))
   }
 
@@ -177,6 +185,10 @@
     }
   }
 
+  private losePower (): void {
+    for (const [name, run] of [...this.runs]) this.end(name, run, RunOutcome.Lost)
+  }
+
   private number = 0
 
   private end (name: string, run: Run, outcome: RunOutcome): void {
@@ -260,15 +272,28 @@
 const photo: Kind = { ...portrait, jobsPerSecond: 0.319, processors: 13_000, memoryMegabytes: 38_000, estimateSpread: 0.9 }
 const stock: Kind = { ...proof, jobsPerSecond: 0.417, processors: 3_700, memoryMegabytes: 11_000, estimateSpread: 0.2 }
 const pack: Kind = { ...script, jobsPerSecond: 0.193, taskMilliseconds: 8_714, processors: 2_800, memoryMegabytes: 11_000 }
-const songHuong = { workers: 11, workerProcessors: 64_000, stopMilliseconds: 400, reclaimMilliseconds: 2_900, kinds: { portrait, proof, script } }
-const nackros = { workers: 11, workerProcessors: 32_000, stopMilliseconds: 200, reclaimMilliseconds: 2_700, kinds: { photo, stock, pack } }
+const small = { workersPerRack: 3, workerMegabytes: 131_072, accounts: 4, guaranteedShare: 0.64 }
+const songHuong = { ...small, workers: 11, workerProcessors: 64_000, stopMilliseconds: 400, reclaimMilliseconds: 2_900, kinds: { portrait, proof, script } }
+const nackros = { ...small, workers: 11, workerProcessors: 32_000, stopMilliseconds: 200, reclaimMilliseconds: 2_700, kinds: { photo, stock, pack } }
+
+const pattern: Kind = { ...portrait, jobsPerSecond: 0.92, tasks: 6.9, taskMilliseconds: 9_714, processors: 13_000, memoryMegabytes: 26_000, gangShare: 1, checkpointShare: 0.5, estimateSpread: 0.2 }
+const scan: Kind = { ...proof, jobsPerSecond: 1.6, tasks: 5.4, processors: 3_700, memoryMegabytes: 5_500, gangShare: 1, targetMilliseconds: 300 }
+const stitch: Kind = { ...script, jobsPerSecond: 0.3, tasks: 39, taskMilliseconds: 13_571, processors: 2_800, memoryMegabytes: 7_400, estimateSpread: 0.2 }
+const valkenhand = { workers: 67, workerProcessors: 32_000, workerMegabytes: 65_536, workersPerRack: 11, accounts: 10, guaranteedShare: 0.62, stopMilliseconds: 900, reclaimMilliseconds: 3_400, kinds: { pattern, scan, stitch } }
+const largePortrait: Kind = { ...portrait, jobsPerSecond: 1.16, tasks: 13, taskMilliseconds: 9_714, memoryMegabytes: 53_000, gangShare: 1, checkpointShare: 0.5, estimateSpread: 0.2 }
+const largeProof: Kind = { ...proof, jobsPerSecond: 2.97, tasks: 5.3, memoryMegabytes: 20_000, gangShare: 1, targetMilliseconds: 300 }
+const largeScript: Kind = { ...script, jobsPerSecond: 0.91, tasks: 38 }
+const large = { workers: 160, workerProcessors: 64_000, workerMegabytes: 131_072, workersPerRack: 12, accounts: 24, guaranteedShare: 0.62, stopMilliseconds: 400, reclaimMilliseconds: 2_900, kinds: { portrait: largePortrait, proof: largeProof, script: largeScript } }
 
-/** The mixes of both deployments: usual, with bursts of each kind, and with a fifth of the workers slow. */
+/** The mixes of the deployments: usual, with bursts of each kind, and with a fifth of the workers slow. */
 export const loads: Readonly<Record<string, Load>> = {
   'song huong': { ...songHuong, bursts: [] },
   'song huong, bursts': { ...songHuong, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.3 }, { kind: 'portrait', from: 8, to: 12, factor: 2.6 }, { kind: 'proof', from: 30, to: 36, factor: 2.3 }] },
   'song huong, slow': { ...songHuong, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } },
   nackros: { ...nackros, bursts: [] },
   'nackros, bursts': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2.3 }, { kind: 'photo', from: 8, to: 12, factor: 2.6 }, { kind: 'stock', from: 30, to: 36, factor: 2.3 }] },
-  'nackros, slow': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } }
+  'nackros, slow': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } },
+  'valkenhand grown, bursts': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }] },
+  'valkenhand grown, power lost': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }], powerLossAt: 20 },
+  'song huong large, bursts': { ...large, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.1 }, { kind: 'portrait', from: 8, to: 12, factor: 2.8 }] }
 }
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -4,7 +4,7 @@
 import { EffectKind } from '../effect'
 import type { AcceleratorGuarantee } from '../record'
 import { notRun, RefusalCode, type Refusal } from '../verdict'
-import { checkQueueDocument, type Queue, type QueueAccount } from './document'
+import { checkQueueDocument, type Queue, type QueueAccount, type QueueDocument } from './document'
 import { StepJobState, stepJobEnded, StopReason, type Gang, type StepJob, type StepState } from './model'
 import { firstStepAccelerators, gangsOf } from './specification'
 import { StepTransactionKind, type CancelSteps, type ReplaceDocument, type SubmitSteps } from './transactions'
@@ -146,5 +146,17 @@
  * @returns the queue
  */
 export function queueOfJob (state: StepState, job: StepJob): Queue {
-  return state.document?.document.queues.find(({ name }) => name === job.queue.name) ?? job.queue
+  const document = state.document?.document
+  return document === undefined ? job.queue : queuesByName(document).get(job.queue.name) ?? job.queue
+}
+
+/** A document never changes, and a round of decisions asks for the queue of each job. */
+const indexes = new WeakMap<QueueDocument, ReadonlyMap<string, Queue>>()
+
+function queuesByName (document: QueueDocument): ReadonlyMap<string, Queue> {
+  const known = indexes.get(document)
+  if (known !== undefined) return known
+  const index = new Map(document.queues.map((queue) => [queue.name, queue]))
+  indexes.set(document, index)
+  return index
 }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -2,6 +2,7 @@
 import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
 import { addResources, StopReason, type Life, type StepState } from './model'
 import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
+import { Reserve, type FleetAccelerators } from './reserve'
 import { placeTasks, Rooms, type WorkerRoom } from './rooms'
 import type { RunKey } from './run'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
@@ -53,12 +54,14 @@
   /** Eligible workers by service and label. */
   private readonly workers = new Map<string, Life[]>()
   private readonly guaranteed: ReadonlySet<string>
+  private readonly reserve: Reserve
 
   private constructor (private readonly state: StepState, private readonly view: FleetView) {
     this.rooms = Rooms.of(state.lives.values(), (life) => measuredRoom(state, life))
     this.coming = this.rooms.copy()
     giveStopping(state, this.coming)
     this.guaranteed = guaranteedJobs(state)
+    this.reserve = Reserve.of(state, this.accelerators(), view.now)
   }
 
   static create (state: StepState, view: FleetView): Round {
@@ -66,16 +69,38 @@
   }
 
   run (): StepTransaction[] {
-    const waiting = waitingGangs(this.state, this.guaranteed, this.view.now)
     const refused = new Set<string>()
-    for (const gang of waiting) {
-      const sort = this.sortOf(gang)
-      if (refused.has(sort)) continue
-      if (!this.start(gang) && !this.makeRoom(gang)) refused.add(sort)
+    /** Gangs of one priority that let others pass for the sake of urgent work. */
+    let held: WaitingGang[] = []
+    const startHeld = (): void => {
+      for (const gang of held) this.startOrMakeRoom(gang, refused)
+      held = []
     }
+    for (const gang of waitingGangs(this.state, this.guaranteed, this.view.now)) {
+      if (held[0] !== undefined && held[0].queue.priority !== gang.queue.priority) startHeld()
+      if (this.reserve.admits(gang)) this.startOrMakeRoom(gang, refused)
+      else held.push(gang)
+    }
+    startHeld()
     return this.decisions
   }
 
+  private startOrMakeRoom (gang: WaitingGang, refused: Set<string>): void {
+    const sort = this.sortOf(gang)
+    if (refused.has(sort)) return
+    if (!this.start(gang) && !this.makeRoom(gang)) refused.add(sort)
+  }
+
+  private accelerators (): FleetAccelerators {
+    let [all, losing] = [0, 0]
+    for (const life of this.state.lives.values()) {
+      if (this.view.silent.has(life.incarnation)) continue
+      all += life.accelerators
+      losing += measuredRoom(this.state, life).losing
+    }
+    return { all, losing }
+  }
+
   private start (waiting: WaitingGang): boolean {
     const workers = this.eligible(waiting)
     const placements = this.place(waiting, workers)
@@ -83,6 +108,7 @@
     const { key, gang, need } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
     this.decisions.push(decision)
+    this.reserve.take(waiting)
     for (const { incarnation } of placements) this.coming.take(incarnation, need)
     return true
   }
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -195,3 +195,20 @@
   world.end('a@1', { job: 'running', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
   expect(decide(world)).toEqual(['start owner on a'])
 })
+
+test('while urgent work keeps coming, work that a stop would lose lets pass what loses nothing, but no room stands empty', () => {
+  const whole = step({ accelerators: 8 })
+  const saving = { ...whole, checkpoints: true }
+  const started = (urgent: boolean): string[] => {
+    const world = StepWorld.create(['a', 'b', 'c', 'd'].map((name) => worker(name)))
+    if (urgent) world.submit('urgent', [whole], 'urgent', 'one')
+    decide(world)
+    if (urgent) world.end('a@1', { job: 'urgent', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
+    for (const name of ['plain1', 'plain2', 'plain3', 'plain4']) world.submit(name, [whole])
+    world.submit('saving', [saving])
+    world.submit('other', [saving], 'later')
+    return decide(world).map((line) => line.split(' ')[1] ?? '')
+  }
+  expect(started(false)).toEqual(['plain1', 'plain2', 'plain3', 'plain4'])
+  expect(started(true)).toEqual(['plain1', 'plain2', 'saving', 'plain3'])
+})
