Save the checkpoints of runs under way in the log

Their checkpoints were known only to the leader's memory, which goes with the same power, so work with checkpoints began anew. Ruled out: asking the workers (they know nothing of before). Change: each second the leader writes to the log the checkpoints that it lacks, one a gang, 200 at most and each in its turn. A run's members all start from the checkpoint of the commit of its start, whatever is saved meanwhile. Tests: test/checkpoints, test/supervisors (the last one); they need the new entry, so they could not run before.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -57,6 +57,8 @@
 const MEMBERS_RETRY_MILLISECONDS = 500
 /** Time for which the writing of a snapshot may hold the loop at once, in milliseconds. */
 const SNAPSHOT_SLICE_MILLISECONDS = 5
+/** Time between two entries that save checkpoints, in milliseconds: the work that a loss of everything costs. */
+const CHECKPOINT_MILLISECONDS = 1_000
 /** Time between two entries that count refusals, in milliseconds. */
 const REFUSALS_MILLISECONDS = 1_000
 
@@ -196,6 +198,7 @@
       setInterval(() => { this.tick() }, TICK_MILLISECONDS),
       setInterval(() => { this.followers.push([]) }, CONFIRM_MILLISECONDS),
       setInterval(() => { this.flushRefusals() }, REFUSALS_MILLISECONDS),
+      setInterval(() => { this.saveCheckpoints() }, CHECKPOINT_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_MILLISECONDS)
     ]
   }
@@ -287,6 +290,11 @@
     this.machine.wake()
   }
 
+  private saveCheckpoints (): void {
+    const unsaved = this.machine.leads ? this.supervisors.unsavedCheckpoints() : undefined
+    if (unsaved !== undefined) this.submit(unsaved)
+  }
+
   private submit (transaction: Transaction): void {
     this.machine.submit(transaction).catch((error: Error) => { this.options.log('submit-failed', { message: error.message }) })
   }
--- a/src/control/run-progress.ts
+++ b/src/control/run-progress.ts
@@ -1,9 +1,9 @@
 /** How far runs are, as agents report it. Soft state of the leader. */
-import { runName, type RunKey, type RunProgress } from '../core/index'
+import { runName, type RunCheckpoint, type RunKey, type RunProgress } from '../core/index'
 import type { RunStatus } from '../wire/index'
 
 /** What was last heard of one run. */
-interface HeardRun extends RunProgress {
+export interface HeardRun extends RunProgress {
   readonly key: RunKey
   readonly checkpoint: string
 }
@@ -27,7 +27,7 @@
   }
 
   /** All runs that the last reports listed. */
-  get view (): ReadonlyMap<string, RunProgress> { return this.runs }
+  get view (): ReadonlyMap<string, HeardRun> { return this.runs }
 
   /**
    * Takes a report: it lists every run of its worker.
@@ -64,7 +64,7 @@
    * @param incarnation - the worker's incarnation
    * @returns runs that have a checkpoint
    */
-  checkpointsOf (incarnation: string): Array<{ readonly key: RunKey, readonly checkpoint: string }> {
+  checkpointsOf (incarnation: string): RunCheckpoint[] {
     return [...this.listed.get(incarnation) ?? noNames]
       .flatMap((name) => this.runs.get(name) ?? [])
       .filter(({ checkpoint }) => checkpoint !== '')
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -6,9 +6,10 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
   gangOf, RunOutcome, runName, StepTransactionKind, Trust,
-  type FleetView, type Life, type LifeDescription, type RunEnd, type RunKey, type State, type StepTransaction
+  type FleetView, type Life, type LifeDescription, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
+import { CheckpointRound } from './checkpoint-round'
 import { notLeaderRefusal } from './convert'
 import { RunProgressBook } from './run-progress'
 
@@ -71,6 +72,7 @@
   /** The last report of each agent. */
   private readonly reports = new Map<Supervisor, wire.WorkerReport>()
   private readonly trust = Trust.create()
+  private readonly checkpoints = CheckpointRound.create()
   private waiting: Waiting[] = []
   private confirming = false
   private leadingSince = performance.now()
@@ -141,6 +143,12 @@
       .map(({ incarnation }) => this.loss(incarnation))
   }
 
+  /** An entry with checkpoints that the log does not have yet; nothing where there are none. */
+  unsavedCheckpoints (): SaveCheckpoints | undefined {
+    const checkpoints = this.checkpoints.due(this.ports.head().steps, this.progress)
+    return checkpoints.length === 0 ? undefined : { kind: StepTransactionKind.SaveCheckpoints, at: this.ports.now(), checkpoints }
+  }
+
   private forgetGone (): void {
     const { lives } = this.ports.head().steps
     for (const incarnation of [...this.goneAt.keys(), ...this.heardAt.keys()]) {
@@ -312,7 +320,7 @@
       const gang = gangOf(job, key)
       if (job === undefined || gang === undefined || gang.run?.attempt !== key.attempt) return []
       if (listed.has(name) || gang.done || gang.run.stopping !== undefined) return []
-      return [{ key, payload: job.specification.payload, checkpoint: gang.checkpoint }]
+      return [{ key, payload: job.specification.payload, checkpoint: gang.run.startCheckpoint }]
     })
   }
 
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -7,7 +7,7 @@
 import type { RecordLine } from './record'
 import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
 import { announceLife, leaveLife, loseLife } from './steps/lives'
-import { endRuns, startGang, stopGang } from './steps/runs'
+import { endRuns, saveCheckpoints, startGang, stopGang } from './steps/runs'
 import { StepTransactionKind } from './steps/transactions'
 import type { State } from './state'
 import { TransactionKind, type Transaction } from './transaction'
@@ -53,7 +53,8 @@
   [StepTransactionKind.EndRuns]: endRuns,
   [StepTransactionKind.AnnounceLife]: announceLife,
   [StepTransactionKind.LeaveLife]: leaveLife,
-  [StepTransactionKind.LoseLife]: loseLife
+  [StepTransactionKind.LoseLife]: loseLife,
+  [StepTransactionKind.SaveCheckpoints]: saveCheckpoints
 }
 
 /**
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -79,6 +79,8 @@
   readonly members: readonly RunMember[]
   /** Milliseconds since the epoch. */
   readonly startedAt: number
+  /** Each member starts from the same one, whatever is saved meanwhile. */
+  readonly startCheckpoint: string
   readonly stopping?: StopReason
   readonly failed: boolean
 }
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -6,7 +6,7 @@
 import { endStepJob, queueOfJob, setStepJob, stoppedGang } from './jobs'
 import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type Life, type StepJob, type StepSpecification } from './model'
 import { needOf, Rooms } from './rooms'
-import { StepTransactionKind, type EndRuns, type GangKey, type TaskPlacement, type StartGang, type StopGang } from './transactions'
+import { StepTransactionKind, type EndRuns, type GangKey, type SaveCheckpoints, type StartGang, type StopGang, type TaskPlacement } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
 type Outcome = Result<void, Refusal>
@@ -31,7 +31,7 @@
     if (taken.isErr()) return taken
   }
   const members = placements.map(({ task, incarnation }) => ({ task, incarnation, ended: false }))
-  const run: GangRun = { attempt, members, startedAt: draft.at, failed: false }
+  const run: GangRun = { attempt, members, startedAt: draft.at, startCheckpoint: gang.checkpoint, failed: false }
   setStepJob(draft, { ...withGang(job, transaction, { ...gang, attempts: attempt, run }), state: StepJobState.Running, started: true })
   noteRun(draft, job, transaction, attempt, members.map(({ incarnation }) => draft.steps.lives.get(incarnation)?.worker ?? incarnation))
   return ok(undefined)
@@ -61,6 +61,23 @@
   return ok(undefined)
 }
 
+/**
+ * Saves checkpoints of runs under way. One of a run that is over, or that another has replaced, changes nothing.
+ * @param draft - the change under way
+ * @param transaction - the entry
+ * @returns nothing
+ */
+export function saveCheckpoints (draft: Draft, transaction: SaveCheckpoints): Outcome {
+  for (const { key, checkpoint } of transaction.checkpoints) {
+    const job = draft.steps.jobs.get(key.job)
+    const gang = gangOf(job, key)
+    if (job === undefined || gang?.run?.attempt !== key.attempt || checkpoint === '') continue
+    const place: GangKey = { job: key.job, step: key.step, gang: job.gangs[key.step]?.indexOf(gang) ?? -1 }
+    setStepJob(draft, withGang(job, place, { ...gang, checkpoint }))
+  }
+  return ok(undefined)
+}
+
 /**
  * Records ends that a worker listed. An end that is recorded already changes nothing.
  * @param draft - the change under way
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -12,7 +12,8 @@
   EndRuns = 'end-runs',
   AnnounceLife = 'announce-life',
   LeaveLife = 'leave-life',
-  LoseLife = 'lose-life'
+  LoseLife = 'lose-life',
+  SaveCheckpoints = 'save-checkpoints'
 }
 
 /** A whole document under a number; the highest number is in force. */
@@ -100,9 +101,21 @@
   readonly kind: StepTransactionKind.LoseLife
   readonly incarnation: string
   /** The newest checkpoints that were seen of its runs. */
-  readonly checkpoints: ReadonlyArray<{ readonly key: RunKey, readonly checkpoint: string }>
+  readonly checkpoints: readonly RunCheckpoint[]
+}
+
+/** A checkpoint of a run. */
+export interface RunCheckpoint {
+  readonly key: RunKey
+  readonly checkpoint: string
+}
+
+/** Checkpoints of runs under way: they must not be lost together with all workers and the leader's memory. */
+export interface SaveCheckpoints extends Common {
+  readonly kind: StepTransactionKind.SaveCheckpoints
+  readonly checkpoints: readonly RunCheckpoint[]
 }
 
 /** See {@link StepTransactionKind}. */
 export type StepTransaction =
-  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceLife | LeaveLife | LoseLife
+  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceLife | LeaveLife | LoseLife | SaveCheckpoints
--- /dev/null
+++ b/test/checkpoints.test.ts
@@ -0,0 +1,78 @@
+/** Checkpoints of runs under way outlast the loss of all workers and of the leader's memory. */
+import { expect, test } from 'vitest'
+import { CheckpointRound } from '../src/control/checkpoint-round'
+import { RunProgressBook } from '../src/control/run-progress'
+import { StepTransactionKind, type RunCheckpoint, type RunKey } from '../src/core/index'
+import type { RunStatus } from '../src/wire'
+import { step, StepWorld, worker } from './steps-fixture'
+
+const MOST_SAVED = 200
+
+function listed (key: RunKey, checkpoint: string): RunStatus {
+  return { key, running: true, percent: 1, checkpoint }
+}
+
+function save (world: StepWorld, checkpoints: readonly RunCheckpoint[]): string {
+  return world.take({ kind: StepTransactionKind.SaveCheckpoints, at: world.now, checkpoints })
+}
+
+const keyOf = (job: string, task = 0, attempt = 1): RunKey => ({ job, step: 0, task, attempt })
+
+test('a run whose worker is lost when nobody remembers it goes on from the checkpoint that was saved', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('job', [step({ checkpoints: true })])
+  world.start('job', 0, 0, ['a@1'])
+  expect(save(world, [{ key: keyOf('job'), checkpoint: 'half' }])).toBe('')
+  world.take({ kind: StepTransactionKind.LoseLife, at: world.now, incarnation: 'a@1', checkpoints: [] })
+  expect(world.job('job').gangs[0]?.[0]).toMatchObject({ checkpoint: 'half', attempts: 1 })
+  world.take({ kind: StepTransactionKind.AnnounceLife, at: world.now, life: worker('b') })
+  world.start('job', 0, 0, ['b@1'])
+  expect(world.job('job').gangs[0]?.[0]?.run?.startCheckpoint).toBe('half')
+})
+
+test('a checkpoint of an earlier attempt, or of a run that is over, changes nothing', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('job', [step({ checkpoints: true })])
+  save(world, [{ key: keyOf('job'), checkpoint: 'early' }, { key: keyOf('nobody'), checkpoint: 'x' }])
+  world.start('job', 0, 0, ['a@1'])
+  save(world, [{ key: keyOf('job', 0, 2), checkpoint: 'wrong' }, { key: keyOf('job'), checkpoint: '' }])
+  expect(world.job('job').gangs[0]?.[0]?.checkpoint).toBe('')
+})
+
+test('a gang is saved only once all its members run, and what is saved does not change what they start from', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('gang', [step({ tasks: 2, gang: true, accelerators: 8, checkpoints: true })])
+  world.start('gang', 0, 0, ['a@1', 'b@1'])
+  const book = RunProgressBook.create()
+  const round = CheckpointRound.create()
+  book.take('a@1', [listed(keyOf('gang', 0), 'c1')], world.now)
+  expect(round.due(world.state.steps, book)).toEqual([])
+  book.take('b@1', [{ ...listed(keyOf('gang', 1), 'c1'), running: false }], world.now)
+  expect(round.due(world.state.steps, book)).toEqual([])
+  book.take('b@1', [listed(keyOf('gang', 1), 'c2')], world.now)
+  const due = round.due(world.state.steps, book)
+  expect(due).toEqual([{ key: keyOf('gang', 0), checkpoint: 'c1' }])
+  save(world, due)
+  expect(world.job('gang').gangs[0]?.[0]).toMatchObject({ checkpoint: 'c1', run: { startCheckpoint: '' } })
+})
+
+test('where there are more gangs than one entry holds, each has its turn', () => {
+  const gangs = 2.5 * MOST_SAVED
+  const world = StepWorld.create([worker('a', { processors: 1_000_000, memoryMegabytes: 1_000_000, accelerators: 1_000 })])
+  const book = RunProgressBook.create()
+  const names = Array.from({ length: gangs }, (_, position) => `job${position}`)
+  for (const name of names) {
+    world.submit(name, [step({ checkpoints: true })])
+    world.start(name, 0, 0, ['a@1'])
+  }
+  const round = CheckpointRound.create()
+  const saved = new Set<string>()
+  for (let turn = 0; turn < 3; turn++) {
+    book.take('a@1', names.map((name) => listed(keyOf(name), `at ${turn}`)), world.now)
+    const due = round.due(world.state.steps, book)
+    expect(due).toHaveLength(MOST_SAVED)
+    save(world, due)
+    for (const { key } of due) saved.add(key.job)
+  }
+  expect(saved.size).toBe(gangs)
+})
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -157,3 +157,15 @@
   expect(leader.world.state.steps.lives.has('b@1')).toBe(true)
   expect(leader.supervisors.overdue().map((transaction) => (transaction as { incarnation: string }).incarnation)).toEqual(['a@1'])
 })
+
+test('checkpoints that the log lacks are handed in, and an order that is sent again names the one that the run began with', async () => {
+  leader.world.submit('job', [step({ checkpoints: true })])
+  leader.world.start('job', 0, 0, ['a@1'])
+  const key = { job: 'job', step: 0, task: 0, attempt: 1 }
+  await leader.report({ runs: [{ key, running: true, percent: 40, checkpoint: 'c1' }] })
+  const unsaved = leader.supervisors.unsavedCheckpoints()
+  expect(unsaved).toMatchObject({ kind: StepTransactionKind.SaveCheckpoints, checkpoints: [{ key, checkpoint: 'c1' }] })
+  leader.world.take(unsaved!)
+  expect(leader.supervisors.unsavedCheckpoints()).toBeUndefined()
+  expect((await leader.report({ runs: [] }))?.starts).toMatchObject([{ key, checkpoint: '' }])
+})
