Log why a gang waits and what an entry refuses by itself, in words

Cause: a request that no leader was found for left no line (docs/OPERATIONS.md: "no line at all"), a waiting gang had none that says why, and operations were numbers. Change: request-refused with the identifier, the verdict, the leader as last known and its age, ten lines a second at most and the rest counted; gang-waits, one line for a step when its reason is new or changes, 20 in one look a second; words for operations. Decisions are not touched. Tests: test/waiting-log, test/queue-client (the last one). Not measured here: bytes and processor share of the log with these lines.

--- a/src/client/leader.ts
+++ b/src/client/leader.ts
@@ -63,7 +63,7 @@
   private constructor (
     private readonly hosts: KnownHosts,
     private readonly channels: Channels,
-    private readonly logger: Logger
+    readonly logger: Logger
   ) {}
 
   /**
@@ -122,6 +122,11 @@
     return this.heardFrom === this.current && performance.now() - this.heardAt < FRESH_MILLISECONDS ? this.current : undefined
   }
 
+  /** The leader as last heard of, and how long ago that was, in milliseconds; neither where none was ever found. */
+  get lastKnown (): { readonly leader?: string, readonly leaderSilentMilliseconds?: number } {
+    return this.confirmed === undefined ? {} : { leader: this.confirmed, leaderSilentMilliseconds: Math.round(performance.now() - this.seenAt) }
+  }
+
   /** All addresses at which control hosts may be. */
   get addresses (): readonly string[] { return this.hosts.all }
 
--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -1,11 +1,13 @@
 /** Carries requests to queues, and the numbered document, to the control leader. */
 import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
+import { jobOfPath } from '../core/steps/routing'
 import type { QueueDocument, StepJobSpecification, StepJobState } from '../core/steps/index'
 import type { Refusal } from '../core/verdict'
-import { ControlService, QueueOperation, type QueueReply, type QueueRequest } from '../wire/index'
+import { ControlService, operationWords, QueueOperation, type QueueReply, type QueueRequest } from '../wire/index'
 import { ConfirmedCalls, type ConfirmedLimits } from './confirmed-calls'
 import { CallKind, type Leader } from './leader'
+import { RefusalLog } from './refusal-log'
 import { readRefusal } from './refusals'
 
 export { QueueOperation }
@@ -67,7 +69,13 @@
 
 /** Asks the leader, wherever it is. */
 export class QueueClient {
-  private constructor (private readonly calls: ConfirmedCalls) {}
+  private readonly calls: ConfirmedCalls
+  private readonly refusals: RefusalLog
+
+  private constructor (private readonly leader: Leader) {
+    this.calls = ConfirmedCalls.create(leader)
+    this.refusals = RefusalLog.create(leader.logger)
+  }
 
   /**
    * Makes the client.
@@ -75,7 +83,7 @@
    * @returns the client
    */
   static create (leader: Leader): QueueClient {
-    return new QueueClient(ConfirmedCalls.create(leader))
+    return new QueueClient(leader)
   }
 
   /**
@@ -101,6 +109,7 @@
   private async send ({ operation, job, patienceMilliseconds }: CallBase, place: Omit<QueueRequest, 'operation' | 'jobJson'>): Promise<Result<JobAnswer, Refusal>> {
     const request: QueueRequest = { operation, jobJson: job === undefined ? '' : JSON.stringify(job), ...place }
     const reply = await this.calls.call(ControlService.queue, request, kindOf[operation], limitsFor(patienceMilliseconds))
+    if (reply.isErr()) this.refused(jobOfPath(place.path), operationWords[operation] ?? '', reply.error)
     return reply.andThen(answerOf)
   }
 
@@ -114,6 +123,7 @@
   async replaceDocument (number: number, document: QueueDocument, source: string): Promise<Result<void, Refusal>> {
     const request = { number, documentJson: JSON.stringify(document), source }
     const reply = await this.calls.call(ControlService.replaceDocument, request, CallKind.Repeatable, operatorLimits)
+    if (reply.isErr()) this.refused(`document ${number}`, 'replace-document', reply.error)
     return reply.andThen(({ refusal }) => refusal === undefined ? ok(undefined) : err(readRefusal(refusal)))
   }
 
@@ -123,8 +133,14 @@
    */
   async readDocument (): Promise<Result<DocumentAnswer, Refusal>> {
     const reply = await this.calls.call(ControlService.readDocument, {}, CallKind.Read, operatorLimits)
+    if (reply.isErr()) this.refused('document', 'read-document', reply.error)
     return reply.andThen(({ refusal, number, source }) => refusal === undefined ? ok({ number, source }) : err(readRefusal(refusal)))
   }
+
+  /** The leader writes of what it refuses; this is what never reached one, or whose answer was lost. */
+  private refused (subject: string, operation: string, { code, verdict }: Refusal): void {
+    this.refusals.note({ job: subject, operation, code, verdict, ...this.leader.lastKnown })
+  }
 }
 
 /** The operator moves on to another host after a second without a response. */
--- a/src/control/decision-log.ts
+++ b/src/control/decision-log.ts
@@ -1,8 +1,11 @@
 /** One line and one count for each decision on a gang, with the inputs that a later reader lacks. */
-import { StepTransactionKind, StopReason, type StartGang, type State, type StopGang, type Transaction } from '../core/index'
+import { explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StopGang, type Transaction, type WaitingReason } from '../core/index'
 import type { ControlMetrics } from './metrics'
 import type { Supervisors } from './supervisors'
 
+/** Most lines on waiting gangs in one look; the others are told in the next ones. */
+const WAITING_LINES_MOST = 20
+
 /** What the log is made from. */
 export interface DecisionLogParts {
   readonly supervisors: Supervisors
@@ -28,6 +31,9 @@
 
 /** Tells of decisions as they are made, and of ends as they are committed. */
 export class DecisionLog {
+  /** Why the first gang of a step waits, by job and step. */
+  private readonly reasons = new Map<string, WaitingReason>()
+
   private constructor (private readonly parts: DecisionLogParts) {}
 
   /**
@@ -45,6 +51,24 @@
     if (decision.kind === StepTransactionKind.StopGang) this.stopped(head, decision)
   }
 
+  /** Tells why gangs wait: one line for a step when the reason is new, and one when it changes. */
+  waiting (head: State, view: FleetView): void {
+    const explained = explainWaiting(head.steps, view)
+    const names = new Set<string>()
+    let lines = 0
+    for (const { key: { job, step, gang }, account, priority, acceptedAt, reason } of explained) {
+      const name = `${job}.${step}`
+      names.add(name)
+      if (this.reasons.get(name) === reason || lines === WAITING_LINES_MOST) continue
+      lines += 1
+      this.reasons.set(name, reason)
+      this.parts.log('gang-waits', {
+        job, step, gang, account, priority, reason, waitedMilliseconds: view.now - acceptedAt, document: head.steps.document?.number, term: this.parts.term()
+      })
+    }
+    for (const name of this.reasons.keys()) if (!names.has(name)) this.reasons.delete(name)
+  }
+
   /** Tells of the end of a job of steps. */
   ended (committed: State, identifier: string): void {
     const { jobs, document } = committed.steps
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -59,6 +59,8 @@
 const SNAPSHOT_SLICE_MILLISECONDS = 5
 /** Time between two entries that save checkpoints, in milliseconds: the work that a loss of everything costs. */
 const CHECKPOINT_MILLISECONDS = 1_000
+/** Time between two looks at what waits, for the log, in milliseconds. */
+const WAITING_MILLISECONDS = 1_000
 /** Time between two entries that count refusals, in milliseconds. */
 const REFUSALS_MILLISECONDS = 1_000
 
@@ -199,6 +201,7 @@
       setInterval(() => { this.followers.push([]) }, CONFIRM_MILLISECONDS),
       setInterval(() => { this.flushRefusals() }, REFUSALS_MILLISECONDS),
       setInterval(() => { this.saveCheckpoints() }, CHECKPOINT_MILLISECONDS),
+      setInterval(() => { if (this.machine.leads) this.decisionLog.waiting(this.machine.head, this.supervisors.view()) }, WAITING_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_MILLISECONDS)
     ]
   }
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,7 +1,7 @@
 /** Requests of callers to queues, and the numbered document, at the leader. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, notRun, pendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
+  checkQueueDocument, checkStepJob, jobOfPath, notRun, pendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
   type Refusal, type Route, type State, type StepJob, type StepSpecification, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -45,7 +45,7 @@
  */
 export async function answerQueue (ports: QueuePorts, request: wire.QueueRequest): Promise<wire.QueueReply> {
   const answer = await answerRequest(ports, request)
-  const fields = { job: identifierOf(request), operation: request.operation, document: ports.committed().steps.document?.number ?? 0 }
+  const fields = { job: jobOfPath(request.path), operation: wire.operationWords[request.operation] ?? String(request.operation), document: ports.committed().steps.document?.number ?? 0 }
   if (answer.isOk()) {
     if (request.operation !== wire.QueueOperation.SHOW) ports.log('queue-answered', { ...fields, ...answer.value })
     return wire.QueueReply.fromPartial(answer.value)
@@ -109,10 +109,6 @@
   return ports.committed().steps.jobs.get(identifier)?.state ?? ''
 }
 
-function identifierOf ({ path }: wire.QueueRequest): string {
-  return path.slice(path.lastIndexOf('/') + 1)
-}
-
 function noJob (identifier: string): Refusal {
   return notRun(RefusalCode.NotFound, `no job ${identifier}: it was never accepted, or its retention is over`)
 }
--- a/src/core/steps/candidates.ts
+++ b/src/core/steps/candidates.ts
@@ -26,10 +26,17 @@
 }
 
 function mayUse (life: Life, queue: Queue, step: StepSpecification, choice: Choice): boolean {
-  return life.service === queue.service && !life.leaving && !choice.silent.has(life.incarnation) && carries(life, step)
+  return life.service === queue.service && !life.leaving && !choice.silent.has(life.incarnation) && carriesLabel(life, step)
 }
 
-function carries (life: Life, { label }: StepSpecification): boolean {
+/**
+ * Tells whether a worker carries the label that a step asks for.
+ * @param life - the worker
+ * @param step - the step
+ * @returns true also for a step that asks for none
+ */
+export function carriesLabel (life: Life, step: StepSpecification): boolean {
+  const { label } = step
   return label === '' || life.labels.includes(label)
 }
 
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -6,8 +6,9 @@
   type NumberedDocument, type Queue, type QueueAccount, type QueueDocument, type Service
 } from './document'
 export { checkStepJob, stepJobSchema } from './specification'
-export { resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
+export { jobOfPath, resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
 export { queueOfJob } from './jobs'
 export { pendingJobs } from './pending'
 export { scheduleSteps, type FleetView, type RunProgress } from './schedule'
 export { Trust } from './trust'
+export { explainWaiting, WaitingReason, type ExplainedGang } from './waiting-reason'
--- a/src/core/steps/routing.ts
+++ b/src/core/steps/routing.ts
@@ -82,3 +82,12 @@
   if (keyDigest === '') return undefined
   return accounts.find(({ keys }) => keys.includes(keyDigest))?.name
 }
+
+/**
+ * The job that a path names.
+ * @param path - of a queue, or of a job in it
+ * @returns the job's identifier, empty for a queue
+ */
+export function jobOfPath (path: string): string {
+  return path.slice(path.lastIndexOf('/') + 1)
+}
--- a/test/queue-client.test.ts
+++ b/test/queue-client.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { Channels, KnownHosts, Leader, QueueClient, QueueOperation } from '../src/client'
 import { Verdict } from '../src/core/verdict'
+import type { Logger } from '../src/logging'
 import { ConfirmReply, ControlService, QueueReply, Verdict as WireVerdict, type ConfirmRequest, type QueueRequest } from '../src/wire'
 
 type Unary<Request, Reply> = (call: { request: Request }, callback: (error: null, reply: Reply) => void) => void
@@ -29,10 +30,10 @@
   return `127.0.0.1:${port}`
 }
 
-function clientOf (hosts: readonly string[]): QueueClient {
+function clientOf (hosts: readonly string[], logger: Logger = silent): QueueClient {
   const channels = Channels.create()
   closers.push(() => { channels.close() })
-  return QueueClient.create(Leader.create(KnownHosts.create(hosts), channels, silent))
+  return QueueClient.create(Leader.create(KnownHosts.create(hosts), channels, logger))
 }
 
 const refusal = { code: 'not-leader', message: '', verdict: WireVerdict.NOT_RUN, retryCanHelp: true, retryAfterMilliseconds: 10, leader: '', problems: [] }
@@ -100,3 +101,16 @@
   await new Promise((resolve) => { setTimeout(resolve, 400) })
   expect((await client.ask(call))._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
 })
+
+test('a request that is refused without a leader has a line with its identifier and what was last known of a leader', async () => {
+  const lines: object[] = []
+  const logger = { ...silent, warn: (event: string, fields?: object) => { lines.push({ event, ...fields }) } }
+  let leads = true
+  const only = await host((_call, callback) => { callback(null, ConfirmReply.fromPartial(leads ? {} : { refusal })) }, (_call, callback) => { callback(null, QueueReply.fromPartial(leads ? { state: 'queued' } : { refusal })) })
+  const client = clientOf([only], logger)
+  await client.ask(call)
+  expect(lines).toEqual([])
+  leads = false
+  await client.ask(call)
+  expect(lines).toMatchObject([{ event: 'request-refused', job: '1', operation: 'submit', verdict: Verdict.NotRun }])
+})
--- /dev/null
+++ b/test/waiting-log.test.ts
@@ -0,0 +1,77 @@
+/** What the log says of work that waits, and of requests that are refused without a leader. */
+import { expect, test, vi } from 'vitest'
+import { RefusalLog } from '../src/client/refusal-log'
+import { DecisionLog, type DecisionLogParts } from '../src/control/decision-log'
+import { explainWaiting, RunOutcome, StepTransactionKind, WaitingReason, type FleetView } from '../src/core/index'
+import { step, StepWorld, worker } from './steps-fixture'
+
+function view (world: StepWorld, fields: Partial<FleetView> = {}): FleetView {
+  return { now: world.now, silent: new Set(), suspects: new Set(), progress: new Map(), complete: false, ...fields }
+}
+
+function reasons (world: StepWorld, fields: Partial<FleetView> = {}): string[] {
+  return explainWaiting(world.state.steps, view(world, fields)).map(({ key, reason }) => `${key.job} ${reason}`)
+}
+
+const whole = step({ accelerators: 8 })
+
+test('each thing that a gang can lack has its reason', () => {
+  const world = StepWorld.create([worker('a'), worker('b', { rack: 'r2' })])
+  world.submit('1-label', [step({ label: 'none' })])
+  world.submit('2-rack', [{ ...whole, tasks: 2, gang: true, sameRack: true }])
+  expect(reasons(world)).toEqual([`1-label ${WaitingReason.NoLabel}`, `2-rack ${WaitingReason.NoRack}`])
+  expect(reasons(world, { silent: new Set(['a@1', 'b@1']) })[1]).toBe(`2-rack ${WaitingReason.WorkersSilent}`)
+  expect(reasons(world, { suspects: new Set(['a@1', 'b@1']) })[1]).toBe(`2-rack ${WaitingReason.WorkersNotTrusted}`)
+  const full = StepWorld.create([worker('a')])
+  full.submit('running', [whole])
+  full.start('running', 0, 0, ['a@1'])
+  full.submit('urgent', [whole], 'urgent', 'two')
+  full.submit('normal', [step({ tasks: 3 })])
+  expect(reasons(full)).toEqual([`urgent ${WaitingReason.GuaranteeUsedUp}`, `normal ${WaitingReason.NoRoom}`])
+  full.take({ kind: StepTransactionKind.LeaveLife, at: full.now, incarnation: 'a@1' })
+  expect(reasons(full)[1]).toBe(`normal ${WaitingReason.NoWorker}`)
+})
+
+test('a reason is told once, again when it changes, and anew when the step waits another time', () => {
+  const world = StepWorld.create([worker('a')])
+  const lines: string[] = []
+  const log = DecisionLog.create({ term: () => 1, now: () => world.now, log: (event: string, fields: object) => { lines.push(`${event} ${(fields as { reason: string }).reason}`) } } as unknown as DecisionLogParts)
+  const look = (fields: Partial<FleetView> = {}): string[] => {
+    log.waiting(world.state, view(world, fields))
+    return lines.splice(0)
+  }
+  world.submit('running', [whole])
+  world.start('running', 0, 0, ['a@1'])
+  world.submit('waiting', [whole])
+  expect(look()).toEqual(['gang-waits no-room'])
+  expect(look()).toEqual([])
+  expect(look({ silent: new Set(['a@1']) })).toEqual(['gang-waits workers-silent'])
+  world.end('a@1', { job: 'running', step: 0, task: 0, attempt: 1 }, RunOutcome.Done)
+  world.start('waiting', 0, 0, ['a@1'])
+  expect(look()).toEqual([])
+  world.end('a@1', { job: 'waiting', step: 0, task: 0, attempt: 1 }, RunOutcome.Lost)
+  expect(look()).toEqual(['gang-waits no-room'])
+})
+
+test('a thousand steps that wait make a bounded number of lines in one look, and none is left out for good', () => {
+  const world = StepWorld.create()
+  for (let job = 0; job < 1_000; job++) world.submit(`job${job}`, [whole])
+  let lines = 0
+  const log = DecisionLog.create({ term: () => 1, now: () => world.now, log: () => { lines += 1 } } as unknown as DecisionLogParts)
+  log.waiting(world.state, view(world))
+  expect(lines).toBe(20)
+  for (let look = 1; look < 50; look++) log.waiting(world.state, view(world))
+  expect(lines).toBe(1_000)
+})
+
+test('refusals without a leader make ten lines a second at most, and the rest is counted', () => {
+  vi.useFakeTimers({ toFake: ['performance'] })
+  const lines: object[] = []
+  const log = RefusalLog.create({ debug: () => {}, info: () => {}, error: () => {}, warn: (event, fields) => { lines.push({ event, ...fields }) } })
+  for (let request = 0; request < 25; request++) log.note({ job: `${request}` })
+  expect(lines).toHaveLength(10)
+  vi.advanceTimersByTime(1_000)
+  log.note({ job: 'next' })
+  expect(lines.at(-1)).toEqual({ event: 'request-refused', job: 'next', leftOut: 15 })
+  vi.useRealTimers()
+})
