--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -4,6 +4,7 @@
 import { jobOfPath } from '../core/steps/routing'
 import type { QueueDocument, StepJobSpecification, StepJobState } from '../core/steps/index'
 import type { Refusal } from '../core/verdict'
+import type { LogFields } from '../logging'
 import { ControlService, operationWords, QueueOperation, type QueueReply, type QueueRequest } from '../wire/index'
 import { ConfirmedCalls, type ConfirmedLimits } from './confirmed-calls'
 import { CallKind, type Leader } from './leader'
@@ -109,7 +110,7 @@
   private async send ({ operation, job, patienceMilliseconds }: CallBase, place: Omit<QueueRequest, 'operation' | 'jobJson'>): Promise<Result<JobAnswer, Refusal>> {
     const request: QueueRequest = { operation, jobJson: job === undefined ? '' : JSON.stringify(job), ...place }
     const reply = await this.calls.call(ControlService.queue, request, kindOf[operation], limitsFor(patienceMilliseconds))
-    if (reply.isErr()) this.refused(jobOfPath(place.path), operationWords[operation] ?? '', reply.error)
+    if (reply.isErr()) this.refused({ job: jobOfPath(place.path), operation: operationWords[operation] }, reply.error)
     return reply.andThen(answerOf)
   }
 
@@ -123,7 +124,7 @@
   async replaceDocument (number: number, document: QueueDocument, source: string): Promise<Result<void, Refusal>> {
     const request = { number, documentJson: JSON.stringify(document), source }
     const reply = await this.calls.call(ControlService.replaceDocument, request, CallKind.Repeatable, operatorLimits)
-    if (reply.isErr()) this.refused(`document ${number}`, 'replace-document', reply.error)
+    if (reply.isErr()) this.refused({ document: number, operation: 'replace-document' }, reply.error)
     return reply.andThen(({ refusal }) => refusal === undefined ? ok(undefined) : err(readRefusal(refusal)))
   }
 
@@ -133,13 +134,13 @@
    */
   async readDocument (): Promise<Result<DocumentAnswer, Refusal>> {
     const reply = await this.calls.call(ControlService.readDocument, {}, CallKind.Read, operatorLimits)
-    if (reply.isErr()) this.refused('document', 'read-document', reply.error)
+    if (reply.isErr()) this.refused({ operation: 'read-document' }, reply.error)
     return reply.andThen(({ refusal, number, source }) => refusal === undefined ? ok({ number, source }) : err(readRefusal(refusal)))
   }
 
   /** The leader writes of what it refuses; this is what never reached one, or whose answer was lost. */
-  private refused (subject: string, operation: string, { code, verdict }: Refusal): void {
-    this.refusals.note({ job: subject, operation, code, verdict, ...this.leader.lastKnown })
+  private refused (request: LogFields, { code, verdict }: Refusal): void {
+    this.refusals.note({ ...request, code, verdict, ...this.leader.lastKnown })
   }
 }
 
