Write a gang's tasks and its place in one function each

Second reading: waiting-reason listed a gang's tasks as schedule does, and saving checkpoints looked for a gang's place as the end of a member does. No decision, entry or line changes.

--- a/src/core/steps/order.ts
+++ b/src/core/steps/order.ts
@@ -23,6 +23,16 @@
   readonly prospect: Prospect
 }
 
+/**
+ * The tasks of a gang.
+ * @param waiting - the gang
+ * @returns their positions in the step
+ */
+export function tasksOf (waiting: WaitingGang): number[] {
+  const { gang } = waiting
+  return Array.from({ length: gang.size }, (_, position) => gang.first + position)
+}
+
 /** What a job can still be worth if its work starts now, the best first. */
 export enum Prospect {
   /** Completed within its objective. */
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -72,8 +72,7 @@
     const job = draft.steps.jobs.get(key.job)
     const gang = gangOf(job, key)
     if (job === undefined || gang?.run?.attempt !== key.attempt || checkpoint === '') continue
-    const place: GangKey = { job: key.job, step: key.step, gang: job.gangs[key.step]?.indexOf(gang) ?? -1 }
-    setStepJob(draft, withGang(job, place, { ...gang, checkpoint }))
+    setStepJob(draft, withGang(job, placeOf(job, key, gang), { ...gang, checkpoint }))
   }
   return ok(undefined)
 }
@@ -116,7 +115,7 @@
   const members = gang.run.members.map((other) => other === member ? { ...other, ended: true } : other)
   const run = { ...gang.run, members, failed: gang.run.failed || outcome === RunOutcome.Failed }
   const after: Gang = { ...gang, run, done: gang.done || outcome === RunOutcome.Done, checkpoint: checkpoint === '' ? gang.checkpoint : checkpoint }
-  const place: GangKey = { job: job.identifier, step: key.step, gang: job.gangs[key.step]?.indexOf(gang) ?? -1 }
+  const place = placeOf(job, key, gang)
   noteEnd(draft, job, key, incarnation, outcome)
   if (members.every(({ ended }) => ended)) settle(draft, withGang(job, place, settledGang(after)), place)
   else settle(draft, withGang(job, place, outcome === RunOutcome.Done ? after : stoppedGang(draft, after, StopReason.MemberEnded)), place)
@@ -162,6 +161,10 @@
   draft.steps = { ...draft.steps, lives: draft.steps.lives.set(life.incarnation, life) }
 }
 
+function placeOf (job: StepJob, { step }: RunKey, gang: Gang): GangKey {
+  return { job: job.identifier, step, gang: job.gangs[step]?.indexOf(gang) ?? -1 }
+}
+
 function withGang (job: StepJob, { step, gang: position }: GangKey, gang: Gang): StepJob {
   return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? gangs.map((other, place) => place === position ? gang : other) : gangs) }
 }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,7 +1,7 @@
 /** One round of decisions on jobs of steps: what to stop, then what to start, in the order of the queue. */
 import { eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
 import { addResources, StopReason, type Life, type StepState } from './model'
-import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
+import { guaranteedJobs, tasksOf, waitingGangs, type WaitingGang } from './order'
 import { Reserve, type FleetAccelerators } from './reserve'
 import { placeTasks, Rooms, type WorkerRoom } from './rooms'
 import type { RunKey } from './run'
@@ -188,10 +188,6 @@
   }
 }
 
-function tasksOf ({ gang }: WaitingGang): number[] {
-  return Array.from({ length: gang.size }, (_, position) => gang.first + position)
-}
-
 /** A worker's entry in the state is replaced whenever something on it changes, so what was measured of it stays true. */
 const measured = new WeakMap<Life, WorkerRoom>()
 
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -1,7 +1,7 @@
 /** Why gangs wait, for whoever reads the log. Decides nothing. */
 import { carriesLabel, eligibleWorkers, needsOneRack, rackGroups, type Choice } from './candidates'
-import type { StepState } from './model'
-import { guaranteedJobs, waitingGangs, type WaitingGang } from './order'
+import type { Life, StepState } from './model'
+import { guaranteedJobs, tasksOf, waitingGangs, type WaitingGang } from './order'
 import { placeTasks, Rooms } from './rooms'
 import type { GangKey } from './transactions'
 
@@ -60,7 +60,6 @@
   return queue.priority === 0 && !guaranteed ? WaitingReason.GuaranteeUsedUp : WaitingReason.NoRoom
 }
 
-function fits ({ need, gang }: WaitingGang, workers: Parameters<typeof placeTasks>[2], rooms: Rooms): boolean {
-  const tasks = Array.from({ length: gang.size }, (_, position) => gang.first + position)
-  return placeTasks(need, tasks, workers, rooms.copy(workers)) !== undefined
+function fits (waiting: WaitingGang, workers: readonly Life[], rooms: Rooms): boolean {
+  return placeTasks(waiting.need, tasksOf(waiting), workers, rooms.copy(workers)) !== undefined
 }
