Log the ends of runs, the number of each gang and the objective of each job

Cause: the logs told when a run was started and stopped, but not when and how it ended, and not which gang of a step was meant, so a late job could not be accounted for from the logs alone. Change: a line runs-ended for the tasks of a run that ended in the same way in one committed entry; gang in gang-started and gang-stopped; priority and objective in job-accepted. Decides nothing.

--- a/src/control/decision-log.ts
+++ b/src/control/decision-log.ts
@@ -1,5 +1,5 @@
 /** Logs and counts each decision on a gang, with those of its inputs that are not available later. */
-import { explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StopGang, type Transaction, type WaitingReason } from '../core/index'
+import { explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StepRunEnded, type StopGang, type Transaction, type WaitingReason } from '../core/index'
 import type { ControlMetrics } from './metrics'
 import type { Supervisors } from './supervisors'
 
@@ -19,6 +19,7 @@
 interface GangInputs {
   readonly job: string
   readonly step: number
+  readonly gang: number
   readonly attempt: number
   readonly queue: string
   readonly priority: number
@@ -69,6 +70,18 @@
     for (const name of this.loggedReasons.keys()) if (!names.has(name)) this.loggedReasons.delete(name)
   }
 
+  /** Logs ends of tasks: one line for the tasks of a gang's run that ended in the same way at the same time. */
+  logRunEnds (ends: readonly StepRunEnded[]): void {
+    const lines = new Map<string, { readonly fields: object, readonly workers: string[] }>()
+    for (const { job, step, gang, attempt, incarnation, outcome, ranMilliseconds } of ends) {
+      const name = [job, step, gang, attempt, outcome].join(' ')
+      const line = lines.get(name) ?? { fields: { job, step, gang, attempt, outcome, ranMilliseconds }, workers: [] }
+      line.workers.push(incarnation)
+      lines.set(name, line)
+    }
+    for (const { fields, workers } of lines.values()) this.context.log('runs-ended', { ...fields, workers })
+  }
+
   /** Logs the end of a step job. */
   logJobEnd (committed: State, identifier: string): void {
     const { jobs, document } = committed.steps
@@ -97,11 +110,12 @@
     log('gang-stopped', { ...this.inputsOf(head, decision), reason, workers, percents, runMilliseconds: now() - (run?.startedAt ?? 0) })
   }
 
-  private inputsOf (head: State, { job, step, attempt }: StartGang | StopGang): GangInputs {
+  private inputsOf (head: State, { job, step, gang, attempt }: StartGang | StopGang): GangInputs {
     const found = head.steps.jobs.get(job)
     return {
       job,
       step,
+      gang,
       attempt,
       queue: found?.queue.name ?? '',
       priority: found?.queue.priority ?? 0,
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInChunks, guaranteeStatus, notRunRefusal, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type Transaction
+  decide, decodeState, EffectKind, encodeStateInChunks, guaranteeStatus, notRunRefusal, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, notLeaderMessage, type AgentCall } from './agents'
@@ -313,19 +313,21 @@
     if (!leading) return
     const changed = new Set<Section>()
     const changedIncarnations = new Set<string>()
+    const runEnds: StepRunEnded[] = []
     for (const { effects } of applied) {
       for (const effect of effects) {
-        this.handleEffect(effect, changed)
+        this.handleEffect(effect, changed, runEnds)
         if (effect.kind === EffectKind.IncarnationChanged) changedIncarnations.add(effect.incarnation)
       }
     }
+    this.decisionLog.logRunEnds(runEnds)
     this.supervisors.sendOrdersTo(changedIncarnations)
     if (changed.size === 0) return
     this.followers.push([...changed])
     this.agents.pushConfiguration([...changed])
   }
 
-  private handleEffect (effect: Effect, changed: Set<Section>): void {
+  private handleEffect (effect: Effect, changed: Set<Section>, runEnds: StepRunEnded[]): void {
     if (effect.kind === EffectKind.JobChanged) {
       const job = this.machine.committed.jobs.get(effect.job)
       if (job !== undefined) this.waiters.notify(job)
@@ -333,6 +335,8 @@
       for (const section of effect.sections) changed.add(section)
     } else if (effect.kind === EffectKind.StepJobEnded) {
       this.decisionLog.logJobEnd(this.machine.committed, effect.job)
+    } else if (effect.kind === EffectKind.StepRunEnded) {
+      runEnds.push(effect)
     } else if (agentEffectKinds.has(effect.kind) && effect.kind !== EffectKind.Reserve) {
       this.agents.sendCommand(effect as AgentEffect)
     }
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import {
   checkQueueDocument, checkStepJob, jobOfPath, notRunRefusal, countPendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
-  type Refusal, type Route, type State, type StepJob, type StepSpecification, type Transaction
+  type Refusal, type Route, type State, type StepJob, objectiveMilliseconds, queueOfJob, type StepSpecification, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { toWireRefusal } from './convert'
@@ -75,10 +75,26 @@
   const outcome = await context.submit({
     kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier: jobIdentifier, account, queue: queue.name, specification: checked.value
   })
-  if (outcome.isOk()) context.log('job-accepted', { job: jobIdentifier, account, queue: queue.name, steps: checked.value.steps.slice(0, MAX_LOGGED_STEPS).map(placementFieldsOf) })
+  if (outcome.isOk()) logAcceptance(context, jobIdentifier)
   return outcome.map(() => ({ state: stateOf(context, jobIdentifier) }))
 }
 
+function logAcceptance (context: QueueContext, identifier: string): void {
+  const { steps: state } = context.committed()
+  const job = state.jobs.get(identifier)
+  if (job === undefined) return
+  const { account, specification: { steps } } = job
+  const queue = queueOfJob(state, job)
+  context.log('job-accepted', {
+    job: identifier,
+    account,
+    queue: queue.name,
+    priority: queue.priority,
+    objectiveMilliseconds: Math.round(objectiveMilliseconds(job, queue)),
+    steps: steps.slice(0, MAX_LOGGED_STEPS).map(placementFieldsOf)
+  })
+}
+
 /** The fields that decide where a step can run, short enough for a log line. */
 function placementFieldsOf ({ tasks, accelerators, processors, gang, sameRack, checkpoints, mostPerWorker, label, dataRack, after }: StepSpecification): object {
   return {
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -1,5 +1,7 @@
 import type { AttemptKey } from './transaction'
 import type { Section } from './document'
+import type { RunOutcome } from './steps/run'
+import type { GangKey } from './steps/transactions'
 
 /** Side effects that the leader performs once an entry is committed. Other control hosts discard them. */
 export enum EffectKind {
@@ -19,7 +21,9 @@
   /** Another version of the numbered document is in force. */
   DocumentReplaced = 'document-replaced',
   /** A step job has ended. */
-  StepJobEnded = 'step-job-ended'
+  StepJobEnded = 'step-job-ended',
+  /** A task of a step job's run has ended. */
+  StepRunEnded = 'step-run-ended'
 }
 
 /** An order or acknowledgement for the agent of one worker. */
@@ -58,5 +62,15 @@
   readonly job: string
 }
 
+/** A task of a step job's run has ended. */
+export interface StepRunEnded extends GangKey {
+  readonly kind: EffectKind.StepRunEnded
+  readonly attempt: number
+  readonly incarnation: string
+  readonly outcome: RunOutcome
+  /** Milliseconds since the run was started. */
+  readonly ranMilliseconds: number
+}
+
 /** See {@link EffectKind}. */
-export type Effect = AgentEffect | JobChanged | ConfigurationChanged | IncarnationChanged | DocumentReplaced | StepJobEnded
+export type Effect = AgentEffect | JobChanged | ConfigurationChanged | IncarnationChanged | DocumentReplaced | StepJobEnded | StepRunEnded
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -117,6 +117,7 @@
   const after: Gang = { ...gang, run, done: gang.done || outcome === RunOutcome.Done, checkpoint: checkpoint === '' ? gang.checkpoint : checkpoint }
   const gangKey = gangKeyOf(job, key, gang)
   recordEnd(draft, job, key, incarnation, outcome)
+  draft.addEffect({ kind: EffectKind.StepRunEnded, ...gangKey, attempt: key.attempt, incarnation, outcome, ranMilliseconds: draft.at - gang.run.startedAt })
   if (members.every(({ ended }) => ended)) updateJob(draft, replaceGang(job, gangKey, withRunEnded(after)), gangKey)
   else updateJob(draft, replaceGang(job, gangKey, outcome === RunOutcome.Done ? after : markGangStopping(draft, after, StopReason.MemberEnded)), gangKey)
 }
