--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -91,6 +91,8 @@
     queue: queue.name,
     priority: queue.priority,
     objectiveMilliseconds: Math.round(objectiveMilliseconds(job, queue)),
+    slackFactor: queue.slackFactor,
+    targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
     steps: steps.slice(0, MAX_LOGGED_STEPS).map(placementFieldsOf)
   })
 }
