--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -2,12 +2,10 @@
 import { queueOfJob } from './jobs'
 import { addResources, gangOf, noResources, type GangRun, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
-import { fitsInto, type FreeCapacity, type TaskRequirements } from './free-capacity'
+import { fitsInto, workOf, type FreeCapacity, type TaskRequirements } from './free-capacity'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
 
-/** Weight of one accelerator in the cost of lost work, in thousandths of a processor. */
-const PROCESSORS_PER_ACCELERATOR = 8_000
 /** Share by which each earlier attempt raises a gang's cost, so that the same gang is not preempted again and again. */
 const REPEATED_STOP_WEIGHT = 0.5
 /** Time that a task takes to resume from its checkpoint. */
@@ -29,6 +27,16 @@
   readonly placements: readonly TaskPlacement[]
   readonly victims: readonly Victim[]
   readonly cost: number
+  /** Part of the cost that is due to work without checkpoints. */
+  readonly lostWork: number
+}
+
+/** What limits the stops for a waiting gang. */
+export interface PreemptionLimits {
+  /** Milliseconds since the epoch. */
+  readonly now: number
+  /** Most work that the stops of a plan may lose, in processor-seconds; work with checkpoints does not count. */
+  readonly affordableLoss: number
 }
 
 /**
@@ -36,15 +44,17 @@
  * @param state - state of the step jobs
  * @param waiting - the gang that needs capacity
  * @param guaranteed - identifiers of the jobs that are covered by their account's guarantee
- * @param now - milliseconds since the epoch
+ * @param limits - the time, and how much work may be lost
  * @returns the possible victims by incarnation
  */
-export function victimsFor (state: StepState, waiting: WaitingGang, guaranteed: ReadonlySet<string>, now: number): Map<string, Victim[]> {
+export function victimsFor (state: StepState, waiting: WaitingGang, guaranteed: ReadonlySet<string>, limits: PreemptionLimits): Map<string, Victim[]> {
+  const { now, affordableLoss } = limits
   const byWorker = new Map<string, Victim[]>()
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined || !mayPreempt(state, job, waiting, guaranteed)) continue
-    for (const victim of victimsOf(job, waiting.guaranteed, now)) {
+    for (const victim of victimsOf(job, now)) {
+      if (victim.losesWork && victim.cost > affordableLoss) continue
       for (const incarnation of new Set(victim.members.map((member) => member.incarnation))) {
         byWorker.set(incarnation, [...byWorker.get(incarnation) ?? [], victim])
       }
@@ -59,13 +69,11 @@
   return waiting.guaranteed && priority === waiting.queue.priority && !guaranteed.has(job.identifier)
 }
 
-/** Without a guarantee, only gangs with checkpoints may be preempted. */
-function victimsOf (job: StepJob, guaranteed: boolean, now: number): Victim[] {
+function victimsOf (job: StepJob, now: number): Victim[] {
   return job.gangs.flatMap((gangs, number) => gangs.flatMap((gang, position): Victim[] => {
     const { run } = gang
     const step = job.specification.steps[number]
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
-    if (!guaranteed && !step.checkpoints) return []
     const members = run.members.filter(({ ended }) => !ended)
     const cost = lostWork(step, run, now) * (1 + REPEATED_STOP_WEIGHT * (run.attempt - 1))
     return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost, losesWork: !step.checkpoints }]
@@ -74,7 +82,7 @@
 
 function lostWork (step: StepSpecification, { startedAt, members }: GangRun, now: number): number {
   const lost = step.checkpoints ? RESTORE_MILLISECONDS : now - startedAt
-  return members.length * lost * (step.processors + PROCESSORS_PER_ACCELERATOR * step.accelerators) / 1e6
+  return members.length * workOf(step, lost)
 }
 
 /**
@@ -125,7 +133,8 @@
     trial.allocate(best.incarnation, requirements)
     placements.push({ task, incarnation: best.incarnation })
   }
-  return { placements, victims: [...stopped], cost: [...stopped].reduce((sum, { cost }) => sum + cost, 0) }
+  const victimsLosingWork = [...stopped].filter(({ losesWork }) => losesWork)
+  return { placements, victims: [...stopped], cost: totalCost([...stopped]), lostWork: totalCost(victimsLosingWork) }
 }
 
 interface PreemptionOption {
@@ -155,7 +164,11 @@
     free = without
     return false
   })
-  return { incarnation, victims, cost: victims.reduce((sum, { cost }) => sum + cost, 0), freeAccelerators }
+  return { incarnation, victims, cost: totalCost(victims), freeAccelerators }
+}
+
+function totalCost (victims: readonly Victim[]): number {
+  return victims.reduce((sum, { cost }) => sum + cost, 0)
 }
 
 /** Resources that a gang holds on one worker. */
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -8,6 +8,7 @@
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { planPreemption, releaseStopping, victimsFor, type PreemptionPlan } from './preemption'
 import { findRunsToStop, type RunProgress } from './runs-to-stop'
+import { stepPolicy, type StepPolicy } from './policy'
 
 export type { RunProgress }
 
@@ -35,13 +36,14 @@
  * Decides which gangs of step jobs to start and to stop.
  * @param state - state of the step jobs, with all proposed entries applied
  * @param view - what the leader knows beyond the replicated state
+ * @param policy - the parts of the policy that experiments replace
  * @returns the transactions to propose, in order
  */
-export function scheduleSteps (state: StepState, view: FleetView): StepTransaction[] {
+export function scheduleSteps (state: StepState, view: FleetView, policy = stepPolicy): StepTransaction[] {
   if (state.open.size === 0) return []
   const stops = view.complete ? findRunsToStop(state, view) : []
   if (stops.length > 0) return stops
-  return SchedulingRound.create(state, view).run()
+  return SchedulingRound.create(state, view, policy).run()
 }
 
 /** A scheduling round. Capacity that a gang takes is not available to the gangs after it. */
@@ -56,7 +58,7 @@
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
 
-  private constructor (private readonly state: StepState, private readonly view: FleetView) {
+  private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
     this.expectedCapacity = this.freeCapacity.copy()
     releaseStopping(state, this.expectedCapacity)
@@ -64,8 +66,8 @@
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
   }
 
-  static create (state: StepState, view: FleetView): SchedulingRound {
-    return new SchedulingRound(state, view)
+  static create (state: StepState, view: FleetView, policy: StepPolicy): SchedulingRound {
+    return new SchedulingRound(state, view, policy)
   }
 
   run (): StepTransaction[] {
@@ -158,10 +160,11 @@
   private preempt (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
     const workers = this.eligible(waiting)
-    const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
+    const affordableLoss = waiting.guaranteed ? Infinity : this.policy.affordableLoss(waiting)
+    const victims = victimsFor(this.state, waiting, this.guaranteed, { now: this.view.now, affordableLoss })
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
-      .filter((plan): plan is PreemptionPlan => plan !== undefined)
+      .filter((plan): plan is PreemptionPlan => plan !== undefined && plan.lostWork <= affordableLoss)
     const best = plans.sort((one, other) => one.cost - other.cost)[0]
     if (best === undefined) return false
     this.applyPlan(waiting, best)
