--- a/measurements/step-load-simulation.ts
+++ b/measurements/step-load-simulation.ts
@@ -1,7 +1,7 @@
 /** Simulates a fleet and a load of step jobs around the scheduling policy for step jobs. */
 import {
-  apply, initialState, runName, RunOutcome, scheduleSteps, StepTransactionKind, SuspectTracker,
-  type RunKey, type RunProgress, type State, type StepJob, type StepSpecification, type Transaction
+  apply, initialState, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker,
+  type RunKey, type RunProgress, type State, type StepJob, type StepPolicy, type StepSpecification, type Transaction
 } from '../src/core/index'
 import { Random } from './random'
 
@@ -35,6 +35,8 @@
   readonly workerProcessors: number
   readonly workerMegabytes: number
   readonly workersPerRack: number
+  /** Factors on the duration of tasks, assigned to the workers in turn; 1 for all by default. */
+  readonly slownesses?: readonly number[]
   /** Share of all accelerators that is guaranteed to the accounts. */
   readonly guaranteedShare: number
   readonly accounts: number
@@ -95,12 +97,12 @@
   private lastEndNumber = 0
   private lateReclaims = 0
 
-  private constructor (private readonly load: LoadProfile, seed: number) {
+  private constructor (private readonly load: LoadProfile, seed: number, private readonly policy: StepPolicy) {
     this.random = Random.create(seed)
   }
 
-  static create (load: LoadProfile, seed: number): StepLoadSimulation {
-    return new StepLoadSimulation(load, seed)
+  static create (load: LoadProfile, seed: number, policy = stepPolicy): StepLoadSimulation {
+    return new StepLoadSimulation(load, seed, policy)
   }
 
   run (): LoadResult {
@@ -184,7 +186,8 @@
       if (run.remainingRestoreMilliseconds > 0) { run.remainingRestoreMilliseconds -= milliseconds; continue }
       const position = Number(run.incarnation.slice(1))
       if (slow !== undefined && seconds >= slow.from && seconds < slow.to && position < slow.share * this.load.workers) milliseconds /= slow.factor
-      run.done += milliseconds / run.slowdown
+      const { slownesses = [1] } = this.load
+      run.done += milliseconds / run.slowdown / (slownesses[position % slownesses.length] ?? 1)
       if (run.checkpoints) run.checkpointedWork = Math.floor(run.done / this.load.checkpointMilliseconds) * this.load.checkpointMilliseconds
       const percent = Math.floor(100 * run.done / run.work)
       const known = this.progress.get(name)
@@ -212,7 +215,7 @@
   private decide (): void {
     for (let round = 0; round < 50; round++) {
       const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true }
-      const decisions = scheduleSteps(this.state.steps, view)
+      const decisions = scheduleSteps(this.state.steps, view, this.policy)
       if (decisions.length === 0) return
       for (const decision of decisions) {
         if (!this.applyTransaction(decision)) throw new Error(`refused: ${JSON.stringify(decision)}`)
@@ -287,6 +290,10 @@
 const scan: JobKind = { ...proof, jobsPerSecond: 1.6, tasks: 5.4, processors: 3_700, memoryMegabytes: 5_500, gangShare: 1, targetMilliseconds: 300 }
 const stitch: JobKind = { ...script, jobsPerSecond: 0.3, tasks: 39, taskMilliseconds: 13_571, processors: 2_800, memoryMegabytes: 7_400, estimateSpread: 0.2 }
 const valkenhand = { checkpointMilliseconds: 2_000, workers: 67, workerProcessors: 32_000, workerMegabytes: 65_536, workersPerRack: 11, accounts: 10, guaranteedShare: 0.62, stopMilliseconds: 900, reclaimMilliseconds: 3_400, kinds: { pattern, scan, stitch } }
+const smallPattern: JobKind = { ...pattern, jobsPerSecond: 0.4, tasks: 2 }
+const smallScan: JobKind = { ...scan, jobsPerSecond: 0.27, tasks: 3, targetMilliseconds: 250, estimateSpread: 0.5 }
+const smallStitch: JobKind = { ...stitch, jobsPerSecond: 0.12, tasks: 9 }
+const smallValkenhand = { ...valkenhand, workers: 11, workersPerRack: 3, accounts: 4, slownesses: [1, 1, 1.3], kinds: { pattern: smallPattern, scan: smallScan, stitch: smallStitch } }
 const largePortrait: JobKind = { ...portrait, jobsPerSecond: 1.16, tasks: 13, taskMilliseconds: 9_714, memoryMegabytes: 53_000, gangShare: 1, checkpointShare: 0.5, estimateSpread: 0.2 }
 const largeProof: JobKind = { ...proof, jobsPerSecond: 2.97, tasks: 5.3, memoryMegabytes: 20_000, gangShare: 1, targetMilliseconds: 300 }
 const largeScript: JobKind = { ...script, jobsPerSecond: 0.91, tasks: 38 }
@@ -300,6 +307,8 @@
   nackros: { ...nackros, bursts: [] },
   'nackros, bursts': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2.3 }, { kind: 'photo', from: 8, to: 12, factor: 2.6 }, { kind: 'stock', from: 30, to: 36, factor: 2.3 }] },
   'nackros, slow': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } },
+  valkenhand: { ...smallValkenhand, bursts: [] },
+  'valkenhand, bursts': { ...smallValkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.3 }, { kind: 'stitch', from: 13, to: 17, factor: 2.2 }] },
   'valkenhand grown, bursts': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }] },
   'valkenhand grown, power lost': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }], powerLossAt: 20 },
   'song huong large, bursts': { ...large, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.1 }, { kind: 'portrait', from: 8, to: 12, factor: 2.8 }] }
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -10,6 +10,7 @@
 export { queueOfJob } from './jobs'
 export * from './pending-jobs'
 export { objectiveMilliseconds } from './waiting-gangs'
+export { Mechanism, policyWithout, stepPolicy, type StepPolicy } from './policy'
 export { scheduleSteps, type FleetView, type RunProgress } from './schedule'
 export * from './suspect-tracker'
 export { explainWaiting, WaitingReason, type ExplainedGang } from './waiting-reason'
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -75,7 +75,7 @@
     /** Gangs of one priority that yield to others of it, because starting them would use up the reserve for urgent work. */
     let deferred: WaitingGang[] = []
     const startDeferred = (): void => {
-      for (const gang of deferred) this.startOrPreempt(gang, unplaceable)
+      for (const gang of deferred) if (this.reserve.admits(gang) || !this.policy.isHeldBack(gang, this.view.now)) this.startOrPreempt(gang, unplaceable)
       deferred = []
     }
     for (const gang of waitingGangs(this.state, this.guaranteed, this.view.now)) {
