Trial: callers of a long outage come back after as long as it has lasted

Change: retryAfterOutage in src/client/outage-retry.ts, pure, for requests that change something; reads come back after a second as before.

--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Refusal } from '../core/verdict'
 import { ControlService, Verdict } from '../wire/index'
+import { retryAfterOutage } from './outage-retry'
 import { BrokenCall, CallKind, jittered, noLeaderRefusal, notLeaderRefusal, sleep, type LeaderClient, type Refusable } from './leader-client'
 
 /** Timeouts of such a call, measured from its start unless stated otherwise. */
@@ -31,6 +32,8 @@
 export class ConfirmedCalls {
   /** The search under way, shared by all callers. */
   private currentSearch?: Promise<string | undefined>
+  /** When calls began to fail for want of a leader, in monotonic milliseconds; undefined while a leader answers. */
+  private leaderMissingSince?: number
   /** Monotonic milliseconds. */
   private readonly createdAt = performance.now()
 
@@ -69,13 +72,23 @@
         sent ||= reply.mayHaveArrived && kind !== CallKind.Read
       } else {
         const refusal = notLeaderRefusal(reply)
-        if (refusal === undefined) { this.leader.noteReply(address); return ok(reply) }
+        if (refusal === undefined) {
+          this.leaderMissingSince = undefined
+          this.leader.noteReply(address)
+          return ok(reply)
+        }
         sent ||= kind !== CallKind.Read && refusal.verdict !== Verdict.NOT_RUN
         this.leader.noteLeader(refusal.leader, address)
       }
       if (sent && kind === CallKind.Once) break
     }
-    return err(noLeaderRefusal(sent))
+    this.leaderMissingSince ??= startedAt
+    return err(noLeaderRefusal(sent, this.retryAfter(kind)))
+  }
+
+  /** Reads change nothing and are needed as soon as a leader answers again, so they may come back early. */
+  private retryAfter (kind: CallKind): number | undefined {
+    return kind === CallKind.Read ? undefined : retryAfterOutage(performance.now() - (this.leaderMissingSince ?? performance.now()), Math.random())
   }
 
   /** Whether no leader has been in contact for longer than an election takes, so that waiting for one is of no use. */
--- a/src/client/leader-client.ts
+++ b/src/client/leader-client.ts
@@ -266,12 +266,13 @@
 /**
  * Makes the refusal for when no leader replied.
  * @param sent - whether the request may have arrived at a leader
+ * @param retryAfter - milliseconds after which a retry can help
  * @returns the refusal, with the verdict not-run or may-have-run
  */
-export function noLeaderRefusal (sent: boolean): Refusal {
+export function noLeaderRefusal (sent: boolean, retryAfter = RETRY_AFTER_MILLISECONDS): Refusal {
   return sent
-    ? mayHaveRun('the connection to the control leader broke before it answered', RETRY_AFTER_MILLISECONDS)
-    : notRunRefusal(RefusalCode.Unavailable, 'no control leader answers', RETRY_AFTER_MILLISECONDS)
+    ? mayHaveRun('the connection to the control leader broke before it answered', retryAfter)
+    : notRunRefusal(RefusalCode.Unavailable, 'no control leader answers', retryAfter)
 }
 
 /** Exponential backoff: the pauses between tries, in milliseconds. */
