--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -11,23 +11,28 @@
   readonly affordableLoss: (waiting: WaitingGang) => number
   /** Whether a gang that would use up the reserve for urgent work is left waiting, although it would fit. */
   readonly isHeldBack: (waiting: WaitingGang, now: number) => boolean
+  /** Whether work may start on a worker on which a single job has failed. */
+  readonly usesDoubtfulWorkers: boolean
 }
 
 /** The policy in force. */
-export const stepPolicy: StepPolicy = { affordableLoss: lossUpToOwnWork, isHeldBack: hasSlackLeft }
+export const stepPolicy: StepPolicy = { affordableLoss: lossUpToOwnWork, isHeldBack: hasSlackLeft, usesDoubtfulWorkers: true }
 
 /** A mechanism of the policy that can be switched off. */
 export enum Mechanism {
   /** Urgent work beyond its guarantee stops work that has just begun, even if that loses its progress. */
   StopYoungWork = 'stop-young-work',
   /** Work without checkpoints waits while it would use up the reserve for urgent work and has slack left. */
-  HoldBack = 'hold-back'
+  HoldBack = 'hold-back',
+  /** A worker on which a single job has failed is used where no other has room. */
+  DoubtfulWorkers = 'doubtful-workers'
 }
 
 /** What takes the place of each mechanism where it is off. */
 const replacements: Readonly<Record<Mechanism, Partial<StepPolicy>>> = {
   [Mechanism.StopYoungWork]: { affordableLoss: () => 0 },
-  [Mechanism.HoldBack]: { isHeldBack: () => false }
+  [Mechanism.HoldBack]: { isHeldBack: () => false },
+  [Mechanism.DoubtfulWorkers]: { usesDoubtfulWorkers: false }
 }
 
 /**
--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -35,7 +35,7 @@
 export interface PreemptionLimits {
   /** Milliseconds since the epoch. */
   readonly now: number
-  /** Most work that the stops of a plan may lose, in processor-seconds; work with checkpoints does not count. */
+  /** Limit of the work that the stops of a plan lose, in processor-seconds; work with checkpoints does not count. */
   readonly affordableLoss: number
 }
 
@@ -54,7 +54,7 @@
     const job = state.jobs.get(identifier)
     if (job === undefined || !mayPreempt(state, job, waiting, guaranteed)) continue
     for (const victim of victimsOf(job, now)) {
-      if (victim.losesWork && victim.cost > affordableLoss) continue
+      if (victim.losesWork && victim.cost >= affordableLoss) continue
       for (const incarnation of new Set(victim.members.map((member) => member.incarnation))) {
         byWorker.set(incarnation, [...byWorker.get(incarnation) ?? [], victim])
       }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -104,8 +104,7 @@
   }
 
   private start (waiting: WaitingGang): boolean {
-    const workers = this.eligible(waiting)
-    const placements = this.place(waiting, workers)
+    const placements = this.place(waiting)
     if (placements === undefined) return false
     const { key, gang, requirements } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
@@ -115,9 +114,9 @@
     return true
   }
 
-  private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
+  private place (waiting: WaitingGang): TaskPlacement[] | undefined {
     const tasks = taskPositions(waiting)
-    for (const group of this.groups(waiting, workers)) {
+    for (const group of this.candidates(waiting).flatMap((workers) => this.groups(waiting, workers))) {
       const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity)
       if (placements !== undefined) return placements
     }
@@ -138,6 +137,17 @@
     return this.view.now - job.acceptedAt > maxWait
   }
 
+  /**
+   * Load: jobs that fail by their own fault on a full fleet. The worker may be at fault as well, so others are preferred; but
+   * leaving it idle would cost more than the chance that a run fails there. A gang that has failed avoids the risk.
+   */
+  private candidates (waiting: WaitingGang): WorkerIncarnation[][] {
+    const workers = this.eligible(waiting)
+    const undoubted = workers.filter(({ incarnation }) => !this.view.doubtful.has(incarnation))
+    if (undoubted.length === 0 || undoubted.length === workers.length) return [workers]
+    return waiting.gang.failures === 0 && this.policy.usesDoubtfulWorkers ? [undoubted, workers] : [undoubted]
+  }
+
   private eligible (waiting: WaitingGang): WorkerIncarnation[] {
     const key = `${waiting.queue.service} ${waiting.step.label}`
     const known = this.workers.get(key) ?? eligibleWorkers(this.state, waiting, this.view)
@@ -153,13 +163,13 @@
     const { key, gang, queue, step, requirements, guaranteed } = waiting
     const scope = [queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
-    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, ownStep].join(' ')
+    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, gang.failures === 0, ownStep].join(' ')
   }
 
   /** Stops gangs to free capacity for an urgent gang, and reserves that capacity against the gangs later in the order. */
   private preempt (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
-    const workers = this.eligible(waiting)
+    const workers = this.candidates(waiting)[0] ?? []
     const affordableLoss = waiting.guaranteed ? Infinity : this.policy.affordableLoss(waiting)
     const victims = victimsFor(this.state, waiting, this.guaranteed, { now: this.view.now, affordableLoss })
     const plans = this.groups(waiting, workers)
