--- /dev/null
+++ b/measurements/experiment.ts
@@ -0,0 +1,77 @@
+/**
+ * Measures what mechanisms of the scheduling policy are worth, on generated loads in simulated time:
+ * `npm run experiment -- --load NAME --without MECHANISM [--without ...] [--seeds N]`. The policy in force and the policy
+ * without each of the mechanisms run on the same arrivals; a row gives the difference that the mechanism makes.
+ */
+import { Cli, Command, Option, UsageError } from 'clipanion'
+import { Mechanism, policyWithout } from '../src/core/index'
+import { loads, StepLoadSimulation, type LoadProfile, type LoadResult } from './step-load-simulation'
+
+/** Normal quantile of a two-sided confidence interval of 95 %. */
+const CONFIDENCE_FACTOR = 1.96
+const DEFAULT_SEEDS = '20'
+
+/** What is compared, by its column title. */
+const measures: Readonly<Record<string, (result: LoadResult) => number>> = {
+  earned: ({ earned }) => earned,
+  'worst kind': ({ byKind }) => Math.min(...Object.values(byKind)),
+  'worst windows': ({ worstWindow }) => worstWindow,
+  'lost processor-seconds': ({ lostProcessorSeconds }) => lostProcessorSeconds,
+  'late reclaims': ({ lateReclaims }) => lateReclaims
+}
+
+class ExperimentCommand extends Command {
+  static override paths = [Command.Default]
+  readonly load = Option.String('--load', { required: true })
+  readonly without = Option.Array('--without', [])
+  readonly seeds = Option.String('--seeds', DEFAULT_SEEDS)
+
+  async execute (): Promise<number> {
+    const load = entryOf('load', this.load, loads)
+    const mechanisms = this.without.map((name) => entryOf('mechanism', name, mechanismsByName))
+    const seeds = Number(this.seeds)
+    if (!Number.isInteger(seeds) || seeds < 2) throw new UsageError(`--seeds: expected a whole number of at least 2, got ${this.seeds}`)
+    const inForce = simulate(load, seeds, [])
+    this.context.stdout.write(`${rowOf('in force', (measure) => shown(mean(inForce.map(measure))))}\n`)
+    for (const mechanism of mechanisms) {
+      const without = simulate(load, seeds, [mechanism])
+      this.context.stdout.write(`${rowOf(mechanism, (measure) => differenceOf(inForce.map(measure), without.map(measure)))}\n`)
+    }
+    return 0
+  }
+}
+
+const mechanismsByName: Readonly<Record<string, Mechanism>> = Object.fromEntries(Object.values(Mechanism).map((name) => [name, name]))
+
+function entryOf<Entry> (what: string, name: string, entries: Readonly<Record<string, Entry>>): Entry {
+  const entry = entries[name]
+  if (entry === undefined) throw new UsageError(`unknown ${what} ${name}; known: ${Object.keys(entries).join(', ')}`)
+  return entry
+}
+
+function simulate (load: LoadProfile, seeds: number, without: readonly Mechanism[]): LoadResult[] {
+  const policy = policyWithout(without)
+  return Array.from({ length: seeds }, (_, seed) => StepLoadSimulation.create(load, seed + 1, policy).run())
+}
+
+function rowOf (title: string, cell: (measure: (result: LoadResult) => number) => string): string {
+  return `${title}: ${Object.entries(measures).map(([name, measure]) => `${name} ${cell(measure)}`).join(', ')}`
+}
+
+/** The mean of the paired differences, with half the width of its confidence interval. */
+function differenceOf (inForce: readonly number[], without: readonly number[]): string {
+  const differences = inForce.map((value, seed) => value - (without[seed] ?? 0))
+  const average = mean(differences)
+  const variance = differences.reduce((sum, difference) => sum + (difference - average) ** 2, 0) / (differences.length - 1)
+  return `${average < 0 ? '' : '+'}${shown(average)} ± ${shown(CONFIDENCE_FACTOR * Math.sqrt(variance / differences.length))}`
+}
+
+function mean (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function shown (value: number): string {
+  return Math.abs(value) >= 100 ? value.toFixed(0) : value.toFixed(3)
+}
+
+await Cli.from([ExperimentCommand], { binaryName: 'experiment' }).runExit(process.argv.slice(2))
--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -3,6 +3,7 @@
  * Deployments always run {@link stepPolicy}; there is no setting for it.
  */
 import { workOf } from './free-capacity'
+import { costOfStop, lostWork, type StoppableRun } from './stop-cost'
 import { CompletionForecast, expectedMilliseconds, objectiveMilliseconds, type WaitingGang } from './waiting-gangs'
 
 /** Handlers of the decisions that vary. */
@@ -13,10 +14,12 @@
   readonly isHeldBack: (waiting: WaitingGang, now: number) => boolean
   /** Whether work may start on a worker on which a single job has failed. */
   readonly usesDoubtfulWorkers: boolean
+  /** What it costs to stop a run, in processor-seconds. */
+  readonly costOfStop: (stoppable: StoppableRun, now: number) => number
 }
 
 /** The policy in force. */
-export const stepPolicy: StepPolicy = { affordableLoss: lossUpToOwnWork, isHeldBack: hasSlackLeft, usesDoubtfulWorkers: true }
+export const stepPolicy: StepPolicy = { affordableLoss: lossUpToOwnWork, isHeldBack: hasSlackLeft, usesDoubtfulWorkers: true, costOfStop }
 
 /** A mechanism of the policy that can be switched off. */
 export enum Mechanism {
@@ -25,14 +28,17 @@
   /** Work without checkpoints waits while it would use up the reserve for urgent work and has slack left. */
   HoldBack = 'hold-back',
   /** A worker on which a single job has failed is used where no other has room. */
-  DoubtfulWorkers = 'doubtful-workers'
+  DoubtfulWorkers = 'doubtful-workers',
+  /** Work that a stop would make late is stopped last. */
+  SpareTightWork = 'spare-tight-work'
 }
 
 /** What takes the place of each mechanism where it is off. */
 const replacements: Readonly<Record<Mechanism, Partial<StepPolicy>>> = {
   [Mechanism.StopYoungWork]: { affordableLoss: () => 0 },
   [Mechanism.HoldBack]: { isHeldBack: () => false },
-  [Mechanism.DoubtfulWorkers]: { usesDoubtfulWorkers: false }
+  [Mechanism.DoubtfulWorkers]: { usesDoubtfulWorkers: false },
+  [Mechanism.SpareTightWork]: { costOfStop: lostWork }
 }
 
 /**
@@ -45,7 +51,7 @@
 }
 
 /** Share of its own work that an urgent gang may cost others. */
-const MAX_LOSS_SHARE = 0.5
+const MAX_LOSS_SHARE = 0
 
 /**
  * Load: urgent jobs beyond their accounts' guarantees on a fleet that is full of work without checkpoints. A stop is worth
--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -1,15 +1,15 @@
 /** Chooses the gangs to stop so that a gang of a higher priority can start, with as little lost work as possible. */
+import type { Queue } from './document'
 import { queueOfJob } from './jobs'
-import { addResources, gangOf, noResources, type GangRun, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
+import { addResources, gangOf, noResources, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
-import { fitsInto, workOf, type FreeCapacity, type TaskRequirements } from './free-capacity'
+import { fitsInto, type FreeCapacity, type TaskRequirements } from './free-capacity'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
+import { lostWork, type StoppableRun } from './stop-cost'
 
 /** Share by which each earlier attempt raises a gang's cost, so that the same gang is not preempted again and again. */
 const REPEATED_STOP_WEIGHT = 0.5
-/** Time that a task takes to resume from its checkpoint. */
-const RESTORE_MILLISECONDS = 600
 
 /** A gang that may be stopped. */
 export interface Victim extends GangKey {
@@ -17,8 +17,10 @@
   readonly members: ReadonlyArray<{ readonly incarnation: string }>
   /** Resources that each member holds. */
   readonly taskResources: StepSpecification
-  /** Work that a stop would lose, in processor-seconds; raised for each earlier attempt. */
+  /** What a stop would cost, in processor-seconds; raised for each earlier attempt. */
   readonly cost: number
+  /** Work without checkpoints that a stop would lose, in processor-seconds; raised likewise. */
+  readonly lostWork: number
   readonly losesWork: boolean
 }
 
@@ -27,7 +29,7 @@
   readonly placements: readonly TaskPlacement[]
   readonly victims: readonly Victim[]
   readonly cost: number
-  /** Part of the cost that is due to work without checkpoints. */
+  /** Work without checkpoints that is lost, in processor-seconds. */
   readonly lostWork: number
 }
 
@@ -37,6 +39,8 @@
   readonly now: number
   /** Limit of the work that the stops of a plan lose, in processor-seconds; work with checkpoints does not count. */
   readonly affordableLoss: number
+  /** What it costs to stop a run, in processor-seconds. */
+  readonly costOfStop: (stoppable: StoppableRun, now: number) => number
 }
 
 /**
@@ -48,13 +52,12 @@
  * @returns the possible victims by incarnation
  */
 export function victimsFor (state: StepState, waiting: WaitingGang, guaranteed: ReadonlySet<string>, limits: PreemptionLimits): Map<string, Victim[]> {
-  const { now, affordableLoss } = limits
   const byWorker = new Map<string, Victim[]>()
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined || !mayPreempt(state, job, waiting, guaranteed)) continue
-    for (const victim of victimsOf(job, now)) {
-      if (victim.losesWork && victim.cost >= affordableLoss) continue
+    for (const victim of victimsOf(job, queueOfJob(state, job), limits)) {
+      if (victim.losesWork && victim.lostWork >= limits.affordableLoss) continue
       for (const incarnation of new Set(victim.members.map((member) => member.incarnation))) {
         byWorker.set(incarnation, [...byWorker.get(incarnation) ?? [], victim])
       }
@@ -69,22 +72,18 @@
   return waiting.guaranteed && priority === waiting.queue.priority && !guaranteed.has(job.identifier)
 }
 
-function victimsOf (job: StepJob, now: number): Victim[] {
+function victimsOf (job: StepJob, queue: Queue, { now, costOfStop }: PreemptionLimits): Victim[] {
   return job.gangs.flatMap((gangs, number) => gangs.flatMap((gang, position): Victim[] => {
     const { run } = gang
     const step = job.specification.steps[number]
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
     const members = run.members.filter(({ ended }) => !ended)
-    const cost = lostWork(step, run, now) * (1 + REPEATED_STOP_WEIGHT * (run.attempt - 1))
-    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost, losesWork: !step.checkpoints }]
+    const stoppable = { job, queue, step, run: { ...run, members } }
+    const repeated = 1 + REPEATED_STOP_WEIGHT * (run.attempt - 1)
+    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost: costOfStop(stoppable, now) * repeated, lostWork: step.checkpoints ? 0 : lostWork(stoppable, now) * repeated, losesWork: !step.checkpoints }]
   }))
 }
 
-function lostWork (step: StepSpecification, { startedAt, members }: GangRun, now: number): number {
-  const lost = step.checkpoints ? RESTORE_MILLISECONDS : now - startedAt
-  return members.length * workOf(step, lost)
-}
-
 /**
  * Counts the resources of all runs that are about to end as free: stopping runs, and remaining runs of gangs that are done.
  * @param state - state of the step jobs
@@ -133,8 +132,7 @@
     trial.allocate(best.incarnation, requirements)
     placements.push({ task, incarnation: best.incarnation })
   }
-  const victimsLosingWork = [...stopped].filter(({ losesWork }) => losesWork)
-  return { placements, victims: [...stopped], cost: totalCost([...stopped]), lostWork: totalCost(victimsLosingWork) }
+  return { placements, victims: [...stopped], cost: totalCost([...stopped]), lostWork: [...stopped].reduce((sum, { lostWork: lost }) => sum + lost, 0) }
 }
 
 interface PreemptionOption {
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -171,7 +171,7 @@
     if (waiting.queue.priority !== 0) return false
     const workers = this.candidates(waiting)[0] ?? []
     const affordableLoss = waiting.guaranteed ? Infinity : this.policy.affordableLoss(waiting)
-    const victims = victimsFor(this.state, waiting, this.guaranteed, { now: this.view.now, affordableLoss })
+    const victims = victimsFor(this.state, waiting, this.guaranteed, { now: this.view.now, affordableLoss, costOfStop: this.policy.costOfStop })
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
       .filter((plan): plan is PreemptionPlan => plan !== undefined && plan.lostWork <= affordableLoss)
