Take back stops of young work and the sparing of tight work; name the mechanisms that stay

Holding back work without checkpoints and using doubtful workers stay, as entries of one typed policy that an experiment can switch off by name.

--- a/src/core/steps/free-capacity.ts
+++ b/src/core/steps/free-capacity.ts
@@ -24,20 +24,6 @@
   return { step: `${job}.${number}`, processors, memoryMegabytes, accelerators, mostPerWorker, losesWork: !checkpoints }
 }
 
-/** Weight of one accelerator in an amount of work, in thousandths of a processor. */
-const PROCESSORS_PER_ACCELERATOR = 8_000
-
-/**
- * The work of one task.
- * @param resources - what the task occupies
- * @param milliseconds - how long it runs
- * @returns processor-seconds, where an accelerator counts as several processors
- */
-export function workOf (resources: Resources, milliseconds: number): number {
-  const { processors, accelerators } = resources
-  return milliseconds * (processors + PROCESSORS_PER_ACCELERATOR * accelerators) / 1e6
-}
-
 /** Capacity of one worker. */
 export interface WorkerCapacity {
   readonly free: Resources
--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -1,15 +1,17 @@
 /** Chooses the gangs to stop so that a gang of a higher priority can start, with as little lost work as possible. */
-import type { Queue } from './document'
 import { queueOfJob } from './jobs'
-import { addResources, gangOf, noResources, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
+import { addResources, gangOf, noResources, type GangRun, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
 import { fitsInto, type FreeCapacity, type TaskRequirements } from './free-capacity'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
-import { lostWork, type StoppableRun } from './stop-cost'
 
+/** Weight of one accelerator in the cost of lost work, in thousandths of a processor. */
+const PROCESSORS_PER_ACCELERATOR = 8_000
 /** Share by which each earlier attempt raises a gang's cost, so that the same gang is not preempted again and again. */
 const REPEATED_STOP_WEIGHT = 0.5
+/** Time that a task takes to resume from its checkpoint. */
+const RESTORE_MILLISECONDS = 600
 
 /** A gang that may be stopped. */
 export interface Victim extends GangKey {
@@ -17,10 +19,8 @@
   readonly members: ReadonlyArray<{ readonly incarnation: string }>
   /** Resources that each member holds. */
   readonly taskResources: StepSpecification
-  /** What a stop would cost, in processor-seconds; raised for each earlier attempt. */
+  /** Work that a stop would lose, in processor-seconds; raised for each earlier attempt. */
   readonly cost: number
-  /** Work without checkpoints that a stop would lose, in processor-seconds; raised likewise. */
-  readonly lostWork: number
   readonly losesWork: boolean
 }
 
@@ -29,18 +29,6 @@
   readonly placements: readonly TaskPlacement[]
   readonly victims: readonly Victim[]
   readonly cost: number
-  /** Work without checkpoints that is lost, in processor-seconds. */
-  readonly lostWork: number
-}
-
-/** What limits the stops for a waiting gang. */
-export interface PreemptionLimits {
-  /** Milliseconds since the epoch. */
-  readonly now: number
-  /** Limit of the work that the stops of a plan lose, in processor-seconds; work with checkpoints does not count. */
-  readonly affordableLoss: number
-  /** What it costs to stop a run, in processor-seconds. */
-  readonly costOfStop: (stoppable: StoppableRun, now: number) => number
 }
 
 /**
@@ -48,16 +36,15 @@
  * @param state - state of the step jobs
  * @param waiting - the gang that needs capacity
  * @param guaranteed - identifiers of the jobs that are covered by their account's guarantee
- * @param limits - the time, and how much work may be lost
+ * @param now - milliseconds since the epoch
  * @returns the possible victims by incarnation
  */
-export function victimsFor (state: StepState, waiting: WaitingGang, guaranteed: ReadonlySet<string>, limits: PreemptionLimits): Map<string, Victim[]> {
+export function victimsFor (state: StepState, waiting: WaitingGang, guaranteed: ReadonlySet<string>, now: number): Map<string, Victim[]> {
   const byWorker = new Map<string, Victim[]>()
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined || !mayPreempt(state, job, waiting, guaranteed)) continue
-    for (const victim of victimsOf(job, queueOfJob(state, job), limits)) {
-      if (victim.losesWork && victim.lostWork >= limits.affordableLoss) continue
+    for (const victim of victimsOf(job, waiting.guaranteed, now)) {
       for (const incarnation of new Set(victim.members.map((member) => member.incarnation))) {
         byWorker.set(incarnation, [...byWorker.get(incarnation) ?? [], victim])
       }
@@ -72,18 +59,24 @@
   return waiting.guaranteed && priority === waiting.queue.priority && !guaranteed.has(job.identifier)
 }
 
-function victimsOf (job: StepJob, queue: Queue, { now, costOfStop }: PreemptionLimits): Victim[] {
+/** Without a guarantee, only gangs with checkpoints may be preempted. */
+function victimsOf (job: StepJob, guaranteed: boolean, now: number): Victim[] {
   return job.gangs.flatMap((gangs, number) => gangs.flatMap((gang, position): Victim[] => {
     const { run } = gang
     const step = job.specification.steps[number]
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
+    if (!guaranteed && !step.checkpoints) return []
     const members = run.members.filter(({ ended }) => !ended)
-    const stoppable = { job, queue, step, run: { ...run, members } }
-    const repeated = 1 + REPEATED_STOP_WEIGHT * (run.attempt - 1)
-    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost: costOfStop(stoppable, now) * repeated, lostWork: step.checkpoints ? 0 : lostWork(stoppable, now) * repeated, losesWork: !step.checkpoints }]
+    const cost = lostWork(step, run, now) * (1 + REPEATED_STOP_WEIGHT * (run.attempt - 1))
+    return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost, losesWork: !step.checkpoints }]
   }))
 }
 
+function lostWork (step: StepSpecification, { startedAt, members }: GangRun, now: number): number {
+  const lost = step.checkpoints ? RESTORE_MILLISECONDS : now - startedAt
+  return members.length * lost * (step.processors + PROCESSORS_PER_ACCELERATOR * step.accelerators) / 1e6
+}
+
 /**
  * Counts the resources of all runs that are about to end as free: stopping runs, and remaining runs of gangs that are done.
  * @param state - state of the step jobs
@@ -132,7 +125,7 @@
     trial.allocate(best.incarnation, requirements)
     placements.push({ task, incarnation: best.incarnation })
   }
-  return { placements, victims: [...stopped], cost: totalCost([...stopped]), lostWork: [...stopped].reduce((sum, { lostWork: lost }) => sum + lost, 0) }
+  return { placements, victims: [...stopped], cost: [...stopped].reduce((sum, { cost }) => sum + cost, 0) }
 }
 
 interface PreemptionOption {
@@ -162,11 +155,7 @@
     free = without
     return false
   })
-  return { incarnation, victims, cost: totalCost(victims), freeAccelerators }
-}
-
-function totalCost (victims: readonly Victim[]): number {
-  return victims.reduce((sum, { cost }) => sum + cost, 0)
+  return { incarnation, victims, cost: victims.reduce((sum, { cost }) => sum + cost, 0), freeAccelerators }
 }
 
 /** Resources that a gang holds on one worker. */
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -137,15 +137,12 @@
     return this.view.now - job.acceptedAt > maxWait
   }
 
-  /**
-   * Load: jobs that fail by their own fault on a full fleet. The worker may be at fault as well, so others are preferred; but
-   * leaving it idle would cost more than the chance that a run fails there. A gang that has failed avoids the risk.
-   */
+  /** Sets of workers to try in turn; those on which a job has just failed come last. */
   private candidates (waiting: WaitingGang): WorkerIncarnation[][] {
     const workers = this.eligible(waiting)
     const undoubted = workers.filter(({ incarnation }) => !this.view.doubtful.has(incarnation))
     if (undoubted.length === 0 || undoubted.length === workers.length) return [workers]
-    return waiting.gang.failures === 0 && this.policy.usesDoubtfulWorkers ? [undoubted, workers] : [undoubted]
+    return this.policy.mayUseDoubtfulWorkers(waiting) ? [undoubted, workers] : [undoubted]
   }
 
   private eligible (waiting: WaitingGang): WorkerIncarnation[] {
@@ -163,18 +160,17 @@
     const { key, gang, queue, step, requirements, guaranteed } = waiting
     const scope = [queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
-    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, gang.failures === 0, ownStep].join(' ')
+    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, this.policy.mayUseDoubtfulWorkers(waiting), ownStep].join(' ')
   }
 
   /** Stops gangs to free capacity for an urgent gang, and reserves that capacity against the gangs later in the order. */
   private preempt (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
     const workers = this.candidates(waiting)[0] ?? []
-    const affordableLoss = waiting.guaranteed ? Infinity : this.policy.affordableLoss(waiting)
-    const victims = victimsFor(this.state, waiting, this.guaranteed, { now: this.view.now, affordableLoss, costOfStop: this.policy.costOfStop })
+    const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
-      .filter((plan): plan is PreemptionPlan => plan !== undefined && plan.lostWork <= affordableLoss)
+      .filter((plan): plan is PreemptionPlan => plan !== undefined)
     const best = plans.sort((one, other) => one.cost - other.cost)[0]
     if (best === undefined) return false
     this.applyPlan(waiting, best)
