Hold back work without checkpoints that has slack left; use suspected workers as before

Change: such work, which already yielded to other work of its priority while it would use up the reserve for observed urgent demand, now also waits while less than 40 % of its job's slack is spent.

--- a/measurements/step-decisions.ts
+++ b/measurements/step-decisions.ts
@@ -40,7 +40,7 @@
 }
 
 function viewAt (now: number): Parameters<typeof scheduleSteps>[1] {
-  return { now, silent: new Set(), suspects: new Set(), doubtful: new Set(), progress: new Map(), complete: false }
+  return { now, silent: new Set(), suspects: new Set(), progress: new Map(), complete: false }
 }
 
 for (const workers of [11, 60, 300, 1_300]) {
--- a/measurements/step-load-simulation.ts
+++ b/measurements/step-load-simulation.ts
@@ -214,7 +214,7 @@
 
   private decide (): void {
     for (let round = 0; round < 50; round++) {
-      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), doubtful: this.trust.doubtful(this.now), progress: this.progress, complete: true }
+      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true }
       const decisions = scheduleSteps(this.state.steps, view, this.policy)
       if (decisions.length === 0) return
       for (const decision of decisions) {
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -25,6 +25,9 @@
 /** Time after which a new leader has a report of every agent that can reach it, in milliseconds: three report intervals. */
 const REPORTS_COMPLETE_AFTER_MILLISECONDS = 1_600
 
+/** Outcomes that make a worker suspect: it failed a run, or did not accept one. */
+const suspectingOutcomes: ReadonlySet<RunOutcome> = new Set([RunOutcome.Failed, RunOutcome.NotStarted])
+
 /** What the streams need of the control host. */
 export interface SupervisorsContext {
   /** The state with all proposed entries applied. */
@@ -169,7 +172,6 @@
       now,
       silent: this.silentIncarnations(),
       suspects: this.trust.suspects(now),
-      doubtful: this.trust.doubtful(now),
       progress: this.progress.all,
       complete: performance.now() - this.leadingSince > REPORTS_COMPLETE_AFTER_MILLISECONDS
     }
@@ -260,13 +262,12 @@
       if (key === undefined || (number === 0 ? life?.runs.has(runName(key)) !== true : number <= acknowledged)) return []
       return [{ number, key, outcome: outcome as RunOutcome, checkpoint }]
     })
-    for (const end of newEnds) this.updateTrust(incarnation, end)
+    for (const { outcome } of newEnds) this.updateTrust(incarnation, outcome)
     if (newEnds.length > 0) this.submit({ kind: StepTransactionKind.EndRuns, at: this.context.now(), incarnation, ends: newEnds })
   }
 
-  private updateTrust (incarnation: string, { key, outcome }: RunEnd): void {
-    if (outcome === RunOutcome.Failed) this.trust.recordFailure(incarnation, key.job, this.context.now())
-    if (outcome === RunOutcome.NotStarted) this.trust.recordRefusal(incarnation, this.context.now())
+  private updateTrust (incarnation: string, outcome: RunOutcome): void {
+    if (suspectingOutcomes.has(outcome)) this.trust.recordFailure(incarnation, this.context.now())
     if (outcome === RunOutcome.Done) this.trust.recordSuccess(incarnation)
   }
 
--- a/src/core/steps/eligible-workers.ts
+++ b/src/core/steps/eligible-workers.ts
@@ -9,8 +9,6 @@
   readonly silent: ReadonlySet<string>
   /** Incarnations on which runs fail or stall; used only when no other worker is eligible. */
   readonly suspects: ReadonlySet<string>
-  /** Incarnations on which a single job failed; used where no other has room, but not for gangs that have failed themselves. */
-  readonly doubtful: ReadonlySet<string>
 }
 
 /**
--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -8,25 +8,20 @@
 export interface StepPolicy {
   /** Whether a gang that would use up the reserve for urgent work is left waiting, although it would fit. */
   readonly isHeldBack: (waiting: WaitingGang, now: number) => boolean
-  /** Whether a gang may start on a worker on which a single job has failed, where no other worker has room. */
-  readonly mayUseDoubtfulWorkers: (waiting: WaitingGang) => boolean
 }
 
 /** The policy in force. */
-export const stepPolicy: StepPolicy = { isHeldBack: hasSlackLeft, mayUseDoubtfulWorkers: hasNotFailed }
+export const stepPolicy: StepPolicy = { isHeldBack: hasSlackLeft }
 
 /** A mechanism of the policy that can be switched off. */
 export enum Mechanism {
   /** Work without checkpoints waits while it would use up the reserve for urgent work and has slack left. */
-  HoldBack = 'hold-back',
-  /** A worker on which a single job has failed is used where no other has room. */
-  DoubtfulWorkers = 'doubtful-workers'
+  HoldBack = 'hold-back'
 }
 
 /** What takes the place of each mechanism where it is off. */
 const replacements: Readonly<Record<Mechanism, Partial<StepPolicy>>> = {
-  [Mechanism.HoldBack]: { isHeldBack: () => false },
-  [Mechanism.DoubtfulWorkers]: { mayUseDoubtfulWorkers: () => false }
+  [Mechanism.HoldBack]: { isHeldBack: () => false }
 }
 
 /**
@@ -49,11 +44,3 @@
   const slack = objectiveMilliseconds(job, queue) - expectedMilliseconds(job)
   return now - job.acceptedAt < MAX_HELD_BACK_SHARE * slack
 }
-
-/**
- * Load: jobs that fail by their own fault on a full fleet. The worker may be at fault as well, so others are preferred; but
- * leaving it idle costs more than the chance that a run fails there. A gang that has failed avoids the risk.
- */
-function hasNotFailed ({ gang }: WaitingGang): boolean {
-  return gang.failures === 0
-}
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -75,7 +75,7 @@
     /** Gangs of one priority that yield to others of it, because starting them would use up the reserve for urgent work. */
     let deferred: WaitingGang[] = []
     const startDeferred = (): void => {
-      for (const gang of deferred) if (this.reserve.admits(gang) || !this.policy.isHeldBack(gang, this.view.now)) this.startOrPreempt(gang, unplaceable)
+      for (const gang of deferred) if (!this.policy.isHeldBack(gang, this.view.now)) this.startOrPreempt(gang, unplaceable)
       deferred = []
     }
     for (const gang of waitingGangs(this.state, this.guaranteed, this.view.now)) {
@@ -104,7 +104,8 @@
   }
 
   private start (waiting: WaitingGang): boolean {
-    const placements = this.place(waiting)
+    const workers = this.eligible(waiting)
+    const placements = this.place(waiting, workers)
     if (placements === undefined) return false
     const { key, gang, requirements } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
@@ -114,9 +115,9 @@
     return true
   }
 
-  private place (waiting: WaitingGang): TaskPlacement[] | undefined {
+  private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
     const tasks = taskPositions(waiting)
-    for (const group of this.candidates(waiting).flatMap((workers) => this.groups(waiting, workers))) {
+    for (const group of this.groups(waiting, workers)) {
       const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity)
       if (placements !== undefined) return placements
     }
@@ -137,14 +138,6 @@
     return this.view.now - job.acceptedAt > maxWait
   }
 
-  /** Sets of workers to try in turn; those on which a job has just failed come last. */
-  private candidates (waiting: WaitingGang): WorkerIncarnation[][] {
-    const workers = this.eligible(waiting)
-    const undoubted = workers.filter(({ incarnation }) => !this.view.doubtful.has(incarnation))
-    if (undoubted.length === 0 || undoubted.length === workers.length) return [workers]
-    return this.policy.mayUseDoubtfulWorkers(waiting) ? [undoubted, workers] : [undoubted]
-  }
-
   private eligible (waiting: WaitingGang): WorkerIncarnation[] {
     const key = `${waiting.queue.service} ${waiting.step.label}`
     const known = this.workers.get(key) ?? eligibleWorkers(this.state, waiting, this.view)
@@ -160,13 +153,13 @@
     const { key, gang, queue, step, requirements, guaranteed } = waiting
     const scope = [queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
-    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, this.policy.mayUseDoubtfulWorkers(waiting), ownStep].join(' ')
+    return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, ownStep].join(' ')
   }
 
   /** Stops gangs to free capacity for an urgent gang, and reserves that capacity against the gangs later in the order. */
   private preempt (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
-    const workers = this.candidates(waiting)[0] ?? []
+    const workers = this.eligible(waiting)
     const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
