--- a/measurements/experiment.ts
+++ b/measurements/experiment.ts
@@ -5,7 +5,8 @@
  */
 import { Cli, Command, Option, UsageError } from 'clipanion'
 import { Mechanism, policyWithout } from '../src/core/index'
-import { loads, StepLoadSimulation, type LoadProfile, type LoadResult } from './step-load-simulation'
+import { loads, type LoadProfile } from './load-profiles'
+import { StepLoadSimulation, type LoadResult } from './step-load-simulation'
 
 /** Normal quantile of a two-sided confidence interval of 95 %. */
 const CONFIDENCE_FACTOR = 1.96
--- a/measurements/step-load-simulation.ts
+++ b/measurements/step-load-simulation.ts
@@ -3,57 +3,9 @@
   apply, initialState, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker,
   type RunKey, type RunProgress, type State, type StepJob, type StepPolicy, type StepSpecification, type Transaction
 } from '../src/core/index'
+import type { JobKind, LoadProfile } from './load-profiles'
 import { Random } from './random'
 
-/** A kind of job in a generated load. */
-export interface JobKind {
-  readonly priority: number
-  readonly jobsPerSecond: number
-  readonly tasks: number
-  readonly taskMilliseconds: number
-  /** Standard deviation of the logarithm of the task times. */
-  readonly spread: number
-  readonly processors: number
-  readonly memoryMegabytes: number
-  readonly accelerators: readonly number[]
-  readonly gangShare: number
-  readonly checkpointShare: number
-  readonly secondStepShare: number
-  readonly slackFactor: number
-  readonly targetMilliseconds: number
-  /** Earned by a job of mean size that meets its objective. */
-  readonly value: number
-  /** Earned in place of `value` up to three times the objective. */
-  readonly lateValue: number
-  /** Standard deviation of the logarithm of the ratio of estimated to actual time. */
-  readonly estimateSpread: number
-}
-
-/** A fleet and the load generated for it. */
-export interface LoadProfile {
-  readonly workers: number
-  readonly workerProcessors: number
-  readonly workerMegabytes: number
-  readonly workersPerRack: number
-  /** Factors on the duration of tasks, assigned to the workers in turn; 1 for all by default. */
-  readonly slownesses?: readonly number[]
-  /** Share of all accelerators that is guaranteed to the accounts. */
-  readonly guaranteedShare: number
-  readonly accounts: number
-  /** Time at which all runs are lost, in seconds. */
-  readonly powerLossAt?: number
-  readonly stopMilliseconds: number
-  /** Start delay from which a job of priority 0 counts as a late reclaim. */
-  readonly reclaimMilliseconds: number
-  /** Work between two checkpoints, in milliseconds; a checkpoint is also saved at a stop. */
-  readonly checkpointMilliseconds: number
-  readonly kinds: Readonly<Record<string, JobKind>>
-  /** Periods, in seconds, in which the arrival rate of a kind is multiplied by `factor`. */
-  readonly bursts: ReadonlyArray<{ readonly kind: string, readonly from: number, readonly to: number, readonly factor: number }>
-  /** Period, in seconds, in which a share of the workers takes `factor` times as long. */
-  readonly slow?: { readonly share: number, readonly from: number, readonly to: number, readonly factor: number }
-}
-
 const TICK_MILLISECONDS = 50
 const ARRIVAL_SECONDS = 60
 const END_SECONDS = 90
@@ -65,8 +17,28 @@
 const WAVE_SHARE = 0.25
 const ACCELERATORS = 8
 
-interface SimulatedRun { key: RunKey, incarnation: string, done: number, work: number, slowdown: number, checkpoints: boolean, weight: number, startedAt: number, remainingRestoreMilliseconds: number, stoppedAt?: number, checkpointedWork: number }
-interface SubmittedJob { kind: JobKind, name: string, at: number, objective: number, value: number, size: number, work: number[][] }
+interface SimulatedRun {
+  key: RunKey
+  incarnation: string
+  done: number
+  work: number
+  slowdown: number
+  checkpoints: boolean
+  weight: number
+  startedAt: number
+  remainingRestoreMilliseconds: number
+  stoppedAt?: number
+  checkpointedWork: number
+}
+interface SubmittedJob {
+  kind: JobKind
+  name: string
+  at: number
+  objective: number
+  value: number
+  size: number
+  work: number[][]
+}
 
 /** Results of a simulation; earned values are shares of the highest possible value. */
 export interface LoadResult {
@@ -136,7 +108,22 @@
     for (let number = 0; number < this.load.workers; number++) {
       const name = `w${String(number).padStart(3, '0')}`
       const rack = `r${Math.floor(number / this.load.workersPerRack)}`
-      this.applyTransaction({ kind: StepTransactionKind.AnnounceIncarnation, at: this.now, life: { incarnation: name, worker: name, host: name, service: 's', dataCentre: 'd', rack, labels: ['a', rack], processors: this.load.workerProcessors, memoryMegabytes: this.load.workerMegabytes, accelerators: ACCELERATORS } })
+      this.applyTransaction({
+        kind: StepTransactionKind.AnnounceIncarnation,
+        at: this.now,
+        life: {
+          incarnation: name,
+          worker: name,
+          host: name,
+          service: 's',
+          dataCentre: 'd',
+          rack,
+          labels: ['a', rack],
+          processors: this.load.workerProcessors,
+          memoryMegabytes: this.load.workerMegabytes,
+          accelerators: ACCELERATORS
+        }
+      })
     }
   }
 
@@ -168,7 +155,15 @@
     const size = steps.reduce((sum, step, number) => sum + weightOf(step) * (work[number] ?? []).reduce((total, one) => total + one, 0) / 1_000, 0)
     const meanSize = kind.tasks * (1 + kind.secondStepShare) * kind.taskMilliseconds / 1_000 * weightOf({ processors: kind.processors, accelerators: kind.accelerators.reduce((sum, one) => sum + one, 0) / kind.accelerators.length })
     const chain = work.reduce((sum, tasks, number) => sum + Math.max(...tasks) * this.countWaves(steps[number]!), 0)
-    this.jobs.set(identifier, { kind, name, at: this.now, objective: kind.slackFactor * chain + kind.targetMilliseconds, value: kind.value * Math.min(4, 0.3 + 0.7 * size / meanSize), size, work })
+    this.jobs.set(identifier, {
+      kind,
+      name,
+      at: this.now,
+      objective: kind.slackFactor * chain + kind.targetMilliseconds,
+      value: kind.value * Math.min(4, 0.3 + 0.7 * size / meanSize),
+      size,
+      work
+    })
   }
 
   /** Number of waves in which a step is expected to run if it may use a quarter of the fleet. */
@@ -207,7 +202,12 @@
     if (run.checkpoints && outcome === RunOutcome.Stopped) run.checkpointedWork = Math.floor(run.done)
     const checkpoint = run.checkpoints ? String(run.checkpointedWork) : ''
     if (outcome !== RunOutcome.Done) this.lostProcessorSeconds += run.weight * (run.checkpoints ? run.done - run.checkpointedWork : this.now - run.startedAt) / 1_000
-    this.applyTransaction({ kind: StepTransactionKind.EndRuns, at: this.now, incarnation: run.incarnation, ends: [{ number: this.lastEndNumber, key: run.key, outcome, checkpoint }] })
+    this.applyTransaction({
+      kind: StepTransactionKind.EndRuns,
+      at: this.now,
+      incarnation: run.incarnation,
+      ends: [{ number: this.lastEndNumber, key: run.key, outcome, checkpoint }]
+    })
     const job = this.state.steps.jobs.get(run.key.job)
     if (job !== undefined && job.endedAt !== 0 && !this.endTimes.has(run.key.job)) this.endTimes.set(run.key.job, this.now)
   }
@@ -236,7 +236,18 @@
     for (const { task, incarnation } of placements) {
       const key = { job: identifier, step, task, attempt }
       const saved = Number(this.savedWork(job, step, task) || 0)
-      const run: SimulatedRun = { key, incarnation, done: saved, checkpointedWork: saved, work: submitted.work[step]?.[task] ?? 1_000, slowdown: specification.sameRack && racks.size > 1 ? CROSS_RACK_SLOWDOWN : 1, checkpoints: specification.checkpoints, weight: weightOf(specification), startedAt: this.now, remainingRestoreMilliseconds: saved > 0 ? RESTORE_MILLISECONDS : 0 }
+      const run: SimulatedRun = {
+        key,
+        incarnation,
+        done: saved,
+        checkpointedWork: saved,
+        work: submitted.work[step]?.[task] ?? 1_000,
+        slowdown: specification.sameRack && racks.size > 1 ? CROSS_RACK_SLOWDOWN : 1,
+        checkpoints: specification.checkpoints,
+        weight: weightOf(specification),
+        startedAt: this.now,
+        remainingRestoreMilliseconds: saved > 0 ? RESTORE_MILLISECONDS : 0
+      }
       this.runs.set(runName(key), run)
       this.progress.set(runName(key), { running: true, percent: 0, changedAt: this.now })
     }
@@ -259,8 +270,18 @@
     const share = (jobs: typeof all): number => jobs.reduce((sum, { earned }) => sum + earned, 0) / Math.max(1e-9, jobs.reduce((sum, { value }) => sum + value, 0))
     const byKind = Object.fromEntries(Object.keys(this.load.kinds).map((name) => [name, share(all.filter((job) => job.name === name))]))
     const sorted = [...all].sort((one, other) => other.size - one.size)
-    const windows = Array.from({ length: Math.ceil(ARRIVAL_SECONDS / WINDOW_SECONDS) }, (_, window) => all.filter(({ at }) => Math.floor((at - start) / 1_000 / WINDOW_SECONDS) === window)).filter((jobs) => jobs.length > 0).map(share).sort((one, other) => one - other)
-    return { earned: share(all), byKind, largest: share(sorted.slice(0, Math.ceil(all.length / 10))), worstWindow: ((windows[0] ?? 1) + (windows[1] ?? 1)) / 2, lostProcessorSeconds: this.lostProcessorSeconds, starts: this.starts, lateReclaims: this.lateReclaims }
+    const windowOf = ({ at }: SubmittedJob): number => Math.floor((at - start) / 1_000 / WINDOW_SECONDS)
+    const windows = Array.from({ length: Math.ceil(ARRIVAL_SECONDS / WINDOW_SECONDS) }, (_, window) => all.filter((job) => windowOf(job) === window))
+      .filter((jobs) => jobs.length > 0).map(share).sort((one, other) => one - other)
+    return {
+      earned: share(all),
+      byKind,
+      largest: share(sorted.slice(0, Math.ceil(all.length / 10))),
+      worstWindow: ((windows[0] ?? 1) + (windows[1] ?? 1)) / 2,
+      lostProcessorSeconds: this.lostProcessorSeconds,
+      starts: this.starts,
+      lateReclaims: this.lateReclaims
+    }
   }
 
   private earnedValue (identifier: string, { kind, at, objective, value }: SubmittedJob): number {
@@ -274,42 +295,3 @@
 function weightOf ({ processors, accelerators }: Pick<StepSpecification, 'processors' | 'accelerators'>): number {
   return (processors + MILLIPROCESSORS_PER_ACCELERATOR * accelerators) / 1_000
 }
-
-const acceleratorChoices = [1, 2, 4, 8, 8]
-const portrait: JobKind = { priority: 1, jobsPerSecond: 0.285, tasks: 2, taskMilliseconds: 12_143, spread: 0.3, processors: 26_000, memoryMegabytes: 68_000, accelerators: acceleratorChoices, gangShare: 0.5, checkpointShare: 0.45, secondStepShare: 0, slackFactor: 3, targetMilliseconds: 1_000, value: 3, lateValue: 0.9, estimateSpread: 0.5 }
-const proof: JobKind = { priority: 0, jobsPerSecond: 0.209, tasks: 3, taskMilliseconds: 3_571, spread: 0.5, processors: 7_500, memoryMegabytes: 15_000, accelerators: acceleratorChoices, gangShare: 0.6, checkpointShare: 0, secondStepShare: 0, slackFactor: 1.5, targetMilliseconds: 250, value: 4, lateValue: 0.8, estimateSpread: 0.5 }
-const script: JobKind = { priority: 2, jobsPerSecond: 0.137, tasks: 9, taskMilliseconds: 10_857, spread: 0.3, processors: 5_600, memoryMegabytes: 8_200, accelerators: [1], gangShare: 0, checkpointShare: 0.45, secondStepShare: 0.3, slackFactor: 3, targetMilliseconds: 3_000, value: 1, lateValue: 0.3, estimateSpread: 0.9 }
-const photo: JobKind = { ...portrait, jobsPerSecond: 0.319, processors: 13_000, memoryMegabytes: 38_000, estimateSpread: 0.9 }
-const stock: JobKind = { ...proof, jobsPerSecond: 0.417, processors: 3_700, memoryMegabytes: 11_000, estimateSpread: 0.2 }
-const pack: JobKind = { ...script, jobsPerSecond: 0.193, taskMilliseconds: 8_714, processors: 2_800, memoryMegabytes: 11_000 }
-const small = { checkpointMilliseconds: 500, workersPerRack: 3, workerMegabytes: 131_072, accounts: 4, guaranteedShare: 0.64 }
-const songHuong = { ...small, workers: 11, workerProcessors: 64_000, stopMilliseconds: 400, reclaimMilliseconds: 2_900, kinds: { portrait, proof, script } }
-const nackros = { ...small, workers: 11, workerProcessors: 32_000, stopMilliseconds: 200, reclaimMilliseconds: 2_700, kinds: { photo, stock, pack } }
-
-const pattern: JobKind = { ...portrait, jobsPerSecond: 0.92, tasks: 6.9, taskMilliseconds: 9_714, processors: 13_000, memoryMegabytes: 26_000, gangShare: 1, checkpointShare: 0.5, estimateSpread: 0.2 }
-const scan: JobKind = { ...proof, jobsPerSecond: 1.6, tasks: 5.4, processors: 3_700, memoryMegabytes: 5_500, gangShare: 1, targetMilliseconds: 300 }
-const stitch: JobKind = { ...script, jobsPerSecond: 0.3, tasks: 39, taskMilliseconds: 13_571, processors: 2_800, memoryMegabytes: 7_400, estimateSpread: 0.2 }
-const valkenhand = { checkpointMilliseconds: 2_000, workers: 67, workerProcessors: 32_000, workerMegabytes: 65_536, workersPerRack: 11, accounts: 10, guaranteedShare: 0.62, stopMilliseconds: 900, reclaimMilliseconds: 3_400, kinds: { pattern, scan, stitch } }
-const smallPattern: JobKind = { ...pattern, jobsPerSecond: 0.4, tasks: 2 }
-const smallScan: JobKind = { ...scan, jobsPerSecond: 0.27, tasks: 3, targetMilliseconds: 250, estimateSpread: 0.5 }
-const smallStitch: JobKind = { ...stitch, jobsPerSecond: 0.12, tasks: 9 }
-const smallValkenhand = { ...valkenhand, workers: 11, workersPerRack: 3, accounts: 4, slownesses: [1, 1, 1.3], kinds: { pattern: smallPattern, scan: smallScan, stitch: smallStitch } }
-const largePortrait: JobKind = { ...portrait, jobsPerSecond: 1.16, tasks: 13, taskMilliseconds: 9_714, memoryMegabytes: 53_000, gangShare: 1, checkpointShare: 0.5, estimateSpread: 0.2 }
-const largeProof: JobKind = { ...proof, jobsPerSecond: 2.97, tasks: 5.3, memoryMegabytes: 20_000, gangShare: 1, targetMilliseconds: 300 }
-const largeScript: JobKind = { ...script, jobsPerSecond: 0.91, tasks: 38 }
-const large = { checkpointMilliseconds: 500, workers: 160, workerProcessors: 64_000, workerMegabytes: 131_072, workersPerRack: 12, accounts: 24, guaranteedShare: 0.62, stopMilliseconds: 400, reclaimMilliseconds: 2_900, kinds: { portrait: largePortrait, proof: largeProof, script: largeScript } }
-
-/** Loads of the deployments: usual, with bursts, with a fifth of the workers slow, and with a power loss. */
-export const loads: Readonly<Record<string, LoadProfile>> = {
-  'song huong': { ...songHuong, bursts: [] },
-  'song huong, bursts': { ...songHuong, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.3 }, { kind: 'portrait', from: 8, to: 12, factor: 2.6 }, { kind: 'proof', from: 30, to: 36, factor: 2.3 }] },
-  'song huong, slow': { ...songHuong, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } },
-  nackros: { ...nackros, bursts: [] },
-  'nackros, bursts': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2.3 }, { kind: 'photo', from: 8, to: 12, factor: 2.6 }, { kind: 'stock', from: 30, to: 36, factor: 2.3 }] },
-  'nackros, slow': { ...nackros, bursts: [{ kind: 'stock', from: 5, to: 11, factor: 2 }], slow: { share: 0.2, from: 5, to: 12, factor: 6.5 } },
-  valkenhand: { ...smallValkenhand, bursts: [] },
-  'valkenhand, bursts': { ...smallValkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.3 }, { kind: 'stitch', from: 13, to: 17, factor: 2.2 }] },
-  'valkenhand grown, bursts': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }] },
-  'valkenhand grown, power lost': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }], powerLossAt: 20 },
-  'song huong large, bursts': { ...large, bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.1 }, { kind: 'portrait', from: 8, to: 12, factor: 2.8 }] }
-}
--- a/measurements/step-load.ts
+++ b/measurements/step-load.ts
@@ -2,7 +2,8 @@
  * Simulates generated loads of step jobs against the scheduling policy, without processes or sockets:
  * `node scripts/tool.mjs measurements/step-load.ts [SEEDS]`. Prints the earned share and the lost work of each load.
  */
-import { StepLoadSimulation, loads } from './step-load-simulation'
+import { loads } from './load-profiles'
+import { StepLoadSimulation } from './step-load-simulation'
 
 const seeds = Number(process.argv[2] ?? 20)
 
--- a/test/step-load.test.ts
+++ b/test/step-load.test.ts
@@ -3,7 +3,8 @@
  * which the log refuses, as these make the simulation throw, or that earns too little.
  */
 import { expect, test } from 'vitest'
-import { loads, StepLoadSimulation } from '../measurements/step-load-simulation'
+import { loads } from '../measurements/load-profiles'
+import { StepLoadSimulation } from '../measurements/step-load-simulation'
 
 const SEEDS = [1, 2, 3]
 /** Fleets of 100 workers or more are left to `measurements/step-load.ts`; a fleet of 50 or more runs with one seed. */
