--- a/measurements/load-profiles.ts
+++ b/measurements/load-profiles.ts
@@ -177,6 +177,13 @@
   slownesses: [1, 1, 1.3],
   kinds: { pattern: smallPattern, scan: smallScan, stitch: smallStitch }
 }
+/** A fleet that resembles no deployment, on which no constant was chosen. */
+const report: JobKind = { ...proof, jobsPerSecond: 0.6, tasks: 2, taskMilliseconds: 5_200, processors: 6_000, accelerators: [1, 2, 4], gangShare: 0.3, slackFactor: 1.8, targetMilliseconds: 400 }
+const training: JobKind = { ...portrait, jobsPerSecond: 0.5, tasks: 4, taskMilliseconds: 15_000, processors: 9_000, memoryMegabytes: 20_000, accelerators: [2, 4, 8], gangShare: 0.7, checkpointShare: 0.3, slackFactor: 2.5 }
+const cleaning: JobKind = { ...script, jobsPerSecond: 0.25, tasks: 14, taskMilliseconds: 7_000 }
+const otherFleet = {
+  ...valkenhand, workers: 24, workerProcessors: 48_000, workerMegabytes: 98_304, workersPerRack: 6, accounts: 7, guaranteedShare: 0.5, slownesses: [1, 1.2, 1, 1.5], stopMilliseconds: 1_500, kinds: { report, training, cleaning }
+}
 const largePortrait: JobKind = {
   ...portrait,
   jobsPerSecond: 1.16,
@@ -236,6 +243,7 @@
     ...smallValkenhand,
     bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.3 }, { kind: 'stitch', from: 13, to: 17, factor: 2.2 }]
   },
+  'other fleet, bursts': { ...otherFleet, bursts: [{ kind: 'report', from: 6, to: 13, factor: 2.6 }, { kind: 'training', from: 20, to: 25, factor: 1.8 }] },
   'valkenhand grown, bursts': {
     ...valkenhand,
     bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }]
