--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,8 +1,8 @@
 /** The leader's handlers of requests to queues and of the numbered queue document. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, jobOfPath, notRunRefusal, countPendingJobs, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
-  type Refusal, type Route, type State, type StepJob, objectiveMilliseconds, queueOfJob, type StepSpecification, type Transaction
+  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
+  type Refusal, type Route, type State, type StepJob, type StepSpecification, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { toWireRefusal } from './convert'
--- a/test/queue-client.test.ts
+++ b/test/queue-client.test.ts
@@ -87,6 +87,15 @@
   expect(performance.now() - began).toBeLessThan(400)
 })
 
+test('the longer no leader answers, the later a change may be sent again, while reads may come back early', async () => {
+  const client = clientOf([await unresponsiveHost()])
+  const retryAfter = async (operation: QueueOperation): Promise<number> => (await client.callByAddress({ ...call, operation, timeoutMilliseconds: 500 }))._unsafeUnwrapErr().retryAfter
+  expect(await retryAfter(QueueOperation.SUBMIT)).toBe(1_000)
+  await new Promise((resolve) => { setTimeout(resolve, 1_800) })
+  expect(await retryAfter(QueueOperation.SUBMIT)).toBeGreaterThan(1_300)
+  expect(await retryAfter(QueueOperation.SHOW)).toBe(1_000)
+})
+
 test('a leader that is not in the settings is found through a follower, and later without that follower', async () => {
   const others: string[] = []
   const leader = await startHost(
