--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -59,11 +59,13 @@
   if (workers.length === 0) return WaitingReason.WorkersSilent
   if (workers.every(({ incarnation }) => constraints.suspects.has(incarnation))) return WaitingReason.WorkersSuspected
   if (prefersOneRack(step) && rackGroups(step, workers).length > 1 && fitsAcrossRacks(waiting, workers, capacity)) return WaitingReason.NoRack
-  if (queue.priority > 0 && fitsAnywhere(waiting, workers, capacity)) return WaitingReason.HeldBack
+  if (queue.priority > 0 && waiting.requirements.losesWork && fitsNow(waiting, workers, capacity)) return WaitingReason.HeldBack
   return queue.priority === 0 && !guaranteed ? WaitingReason.GuaranteeUsedUp : WaitingReason.NoFreeCapacity
 }
 
-function fitsAnywhere (waiting: WaitingGang, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): boolean {
+/** Copies the capacity only for gangs of several tasks: most waiting gangs are single tasks. */
+function fitsNow (waiting: WaitingGang, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): boolean {
+  if (waiting.gang.size === 1) return workers.some(({ incarnation }) => capacity.canHost(incarnation, waiting.requirements))
   return rackGroups(waiting.step, workers).some((group) => placeTasks(waiting.requirements, taskPositions(waiting), group, capacity.copy(group)) !== undefined)
 }
 
