--- a/measurements/experiment.ts
+++ b/measurements/experiment.ts
@@ -3,7 +3,8 @@
  * `npm run experiment -- --load NAME --without MECHANISM [--without ...] [--seeds N]`. The policy in force and the policy
  * without each of the mechanisms run on the same arrivals; a row gives the difference that the mechanism makes.
  */
-import { Cli, Command, Option, UsageError } from 'clipanion'
+import { Cli, Command, Option } from 'clipanion'
+import { err, ok, Result } from 'neverthrow'
 import { Mechanism, policyWithout } from '../src/core/index'
 import { loads, type LoadProfile } from './load-profiles'
 import { StepLoadSimulation, type LoadResult } from './step-load-simulation'
@@ -11,6 +12,9 @@
 /** Normal quantile of a two-sided confidence interval of 95 %. */
 const CONFIDENCE_FACTOR = 1.96
 const DEFAULT_SEEDS = '20'
+/** A variance needs two values. */
+const MIN_SEEDS = 2
+const BAD_INPUT_EXIT_CODE = 2
 
 /** What is compared, by its column title. */
 const measures: Readonly<Record<string, (result: LoadResult) => number>> = {
@@ -28,10 +32,12 @@
   readonly seeds = Option.String('--seeds', DEFAULT_SEEDS)
 
   async execute (): Promise<number> {
-    const load = entryOf('load', this.load, loads)
-    const mechanisms = this.without.map((name) => entryOf('mechanism', name, mechanismsByName))
-    const seeds = Number(this.seeds)
-    if (!Number.isInteger(seeds) || seeds < 2) throw new UsageError(`--seeds: expected a whole number of at least 2, got ${this.seeds}`)
+    const parameters = this.readParameters()
+    if (parameters.isErr()) {
+      this.context.stderr.write(`${parameters.error}\n`)
+      return BAD_INPUT_EXIT_CODE
+    }
+    const { load, mechanisms, seeds } = parameters.value
     const inForce = simulate(load, seeds, [])
     this.context.stdout.write(`${rowOf('in force', (measure) => shown(mean(inForce.map(measure))))}\n`)
     for (const mechanism of mechanisms) {
@@ -40,14 +46,26 @@
     }
     return 0
   }
+
+  private readParameters (): Result<Parameters, string> {
+    const seeds = Number(this.seeds)
+    if (!Number.isInteger(seeds) || seeds < MIN_SEEDS) return err(`--seeds: expected a whole number of at least ${MIN_SEEDS}, got ${this.seeds}`)
+    const mechanisms = Result.combine(this.without.map((name) => entryOf('--without', name, mechanismsByName)))
+    return entryOf('--load', this.load, loads).andThen((load) => mechanisms.map((found) => ({ load, mechanisms: found, seeds })))
+  }
+}
+
+interface Parameters {
+  readonly load: LoadProfile
+  readonly mechanisms: readonly Mechanism[]
+  readonly seeds: number
 }
 
 const mechanismsByName: Readonly<Record<string, Mechanism>> = Object.fromEntries(Object.values(Mechanism).map((name) => [name, name]))
 
-function entryOf<Entry> (what: string, name: string, entries: Readonly<Record<string, Entry>>): Entry {
-  const entry = entries[name]
-  if (entry === undefined) throw new UsageError(`unknown ${what} ${name}; known: ${Object.keys(entries).join(', ')}`)
-  return entry
+function entryOf<Entry> (option: string, name: string, entries: Readonly<Record<string, Entry>>): Result<Entry, string> {
+  const entry = Object.hasOwn(entries, name) ? entries[name] : undefined
+  return entry === undefined ? err(`${option}: unknown name "${name}"; known: ${Object.keys(entries).map((known) => `"${known}"`).join(', ')}`) : ok(entry)
 }
 
 function simulate (load: LoadProfile, seeds: number, without: readonly Mechanism[]): LoadResult[] {
