--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -139,8 +139,8 @@
   }
 
   /** Logs a request that reached no leader, or whose reply was lost; what a leader refuses is in the leader's log. */
-  private logRefusal (request: LogFields, { code, verdict }: Refusal): void {
-    this.refusals.log({ ...request, code, verdict, ...this.leader.lastKnown })
+  private logRefusal (request: LogFields, { code, verdict, retryAfter }: Refusal): void {
+    this.refusals.log({ ...request, code, verdict, retryAfterMilliseconds: retryAfter, ...this.leader.lastKnown })
   }
 }
 
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -2,7 +2,7 @@
 import { expect, test, vi } from 'vitest'
 import { RefusalLog } from '../src/client/refusal-log'
 import { DecisionLog, type DecisionLogContext } from '../src/control/decision-log'
-import { explainWaiting, RunOutcome, StepTransactionKind, WaitingReason, type FleetView } from '../src/core/index'
+import { EffectKind, explainWaiting, RunOutcome, StepTransactionKind, WaitingReason, type FleetView } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 function view (world: StepWorld, fields: Partial<FleetView> = {}): FleetView {
@@ -78,3 +78,16 @@
   expect(lines.at(-1)).toEqual({ event: 'request-refused', job: 'next', leftOut: 15 })
   vi.useRealTimers()
 })
+
+test('the ends of a run are one line for each way in which its tasks ended', () => {
+  const lines: object[] = []
+  const log = DecisionLog.create({ log: (event: string, fields: object) => { lines.push({ event, ...fields }) } } as unknown as DecisionLogContext)
+  const end = { kind: EffectKind.StepRunEnded as const, job: 'j', step: 0, gang: 1, attempt: 2, ranMilliseconds: 900 }
+  log.logRunEnds([
+    { ...end, incarnation: 'a@1', outcome: RunOutcome.Failed },
+    { ...end, incarnation: 'b@1', outcome: RunOutcome.MemberEnded },
+    { ...end, incarnation: 'c@1', outcome: RunOutcome.MemberEnded }
+  ])
+  const run = { event: 'runs-ended', job: 'j', step: 0, gang: 1, attempt: 2, ranMilliseconds: 900 }
+  expect(lines).toEqual([{ ...run, outcome: 'failed', workers: ['a@1'] }, { ...run, outcome: 'broken', workers: ['b@1', 'c@1'] }])
+})
