--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -83,12 +83,8 @@
       if (sent && kind === CallKind.Once) break
     }
     this.leaderMissingSince ??= startedAt
-    return err(noLeaderRefusal(sent, this.retryAfter(kind)))
-  }
-
-  /** Reads change nothing and are needed as soon as a leader answers again, so they may come back early. */
-  private retryAfter (kind: CallKind): number | undefined {
-    return kind === CallKind.Read ? undefined : retryAfterOutage(performance.now() - (this.leaderMissingSince ?? performance.now()), Math.random())
+    // Reads are needed as soon as a leader answers again, so they may come back early.
+    return err(noLeaderRefusal(sent, kind === CallKind.Read ? undefined : retryAfterOutage(performance.now() - this.leaderMissingSince, Math.random())))
   }
 
   /** Whether no leader has been in contact for longer than an election takes, so that waiting for one is of no use. */
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -316,18 +316,19 @@
     const runEnds: StepRunEnded[] = []
     for (const { effects } of applied) {
       for (const effect of effects) {
-        this.handleEffect(effect, changed, runEnds)
+        this.handleEffect(effect, changed)
         if (effect.kind === EffectKind.IncarnationChanged) changedIncarnations.add(effect.incarnation)
+        if (effect.kind === EffectKind.StepRunEnded) runEnds.push(effect)
       }
     }
-    this.decisionLog.logRunEnds(runEnds)
     this.supervisors.sendOrdersTo(changedIncarnations)
+    this.decisionLog.logRunEnds(runEnds)
     if (changed.size === 0) return
     this.followers.push([...changed])
     this.agents.pushConfiguration([...changed])
   }
 
-  private handleEffect (effect: Effect, changed: Set<Section>, runEnds: StepRunEnded[]): void {
+  private handleEffect (effect: Effect, changed: Set<Section>): void {
     if (effect.kind === EffectKind.JobChanged) {
       const job = this.machine.committed.jobs.get(effect.job)
       if (job !== undefined) this.waiters.notify(job)
@@ -335,8 +336,6 @@
       for (const section of effect.sections) changed.add(section)
     } else if (effect.kind === EffectKind.StepJobEnded) {
       this.decisionLog.logJobEnd(this.machine.committed, effect.job)
-    } else if (effect.kind === EffectKind.StepRunEnded) {
-      runEnds.push(effect)
     } else if (agentEffectKinds.has(effect.kind) && effect.kind !== EffectKind.Reserve) {
       this.agents.sendCommand(effect as AgentEffect)
     }
