Take back holding back work without checkpoints

The urgent reserve, which stood before, is the first mechanism that an experiment can switch off, and the experiment takes its first seed, so that a constant can be chosen on some seeds and measured on others.

--- a/measurements/experiment.ts
+++ b/measurements/experiment.ts
@@ -1,6 +1,7 @@
 /**
  * Measures what mechanisms of the scheduling policy are worth, on generated loads in simulated time:
- * `npm run experiment -- --load NAME --without MECHANISM [--without ...] [--seeds N]`. The policy in force and the policy
+ * `npm run experiment -- --load NAME --without MECHANISM [--without ...] [--seeds N]
+ * [--first-seed N]`. A constant is chosen on some seeds and measured on others. The policy in force and the policy
  * without each of the mechanisms run on the same arrivals; a row gives the difference that the mechanism makes.
  */
 import { Cli, Command, Option } from 'clipanion'
@@ -30,6 +31,7 @@
   readonly load = Option.String('--load', { required: true })
   readonly without = Option.Array('--without', [])
   readonly seeds = Option.String('--seeds', DEFAULT_SEEDS)
+  readonly firstSeed = Option.String('--first-seed', '1')
 
   async execute (): Promise<number> {
     const parameters = this.readParameters()
@@ -37,11 +39,11 @@
       this.context.stderr.write(`${parameters.error}\n`)
       return BAD_INPUT_EXIT_CODE
     }
-    const { load, mechanisms, seeds } = parameters.value
-    const inForce = simulate(load, seeds, [])
+    const { mechanisms } = parameters.value
+    const inForce = simulate(parameters.value, [])
     this.context.stdout.write(`${rowOf('in force', (measure) => shown(mean(inForce.map(measure))))}\n`)
     for (const mechanism of mechanisms) {
-      const without = simulate(load, seeds, [mechanism])
+      const without = simulate(parameters.value, [mechanism])
       this.context.stdout.write(`${rowOf(mechanism, (measure) => differenceOf(inForce.map(measure), without.map(measure)))}\n`)
     }
     return 0
@@ -50,8 +52,10 @@
   private readParameters (): Result<Parameters, string> {
     const seeds = Number(this.seeds)
     if (!Number.isInteger(seeds) || seeds < MIN_SEEDS) return err(`--seeds: expected a whole number of at least ${MIN_SEEDS}, got ${this.seeds}`)
+    const firstSeed = Number(this.firstSeed)
+    if (!Number.isSafeInteger(firstSeed) || firstSeed < 1) return err(`--first-seed: expected a whole number of at least 1, got ${this.firstSeed}`)
     const mechanisms = Result.combine(this.without.map((name) => entryOf('--without', name, mechanismsByName)))
-    return entryOf('--load', this.load, loads).andThen((load) => mechanisms.map((found) => ({ load, mechanisms: found, seeds })))
+    return entryOf('--load', this.load, loads).andThen((load) => mechanisms.map((found) => ({ load, mechanisms: found, seeds, firstSeed })))
   }
 }
 
@@ -59,6 +63,7 @@
   readonly load: LoadProfile
   readonly mechanisms: readonly Mechanism[]
   readonly seeds: number
+  readonly firstSeed: number
 }
 
 const mechanismsByName: Readonly<Record<string, Mechanism>> = Object.fromEntries(Object.values(Mechanism).map((name) => [name, name]))
@@ -68,9 +73,9 @@
   return entry === undefined ? err(`${option}: unknown name "${name}"; known: ${Object.keys(entries).map((known) => `"${known}"`).join(', ')}`) : ok(entry)
 }
 
-function simulate (load: LoadProfile, seeds: number, without: readonly Mechanism[]): LoadResult[] {
+function simulate ({ load, seeds, firstSeed }: Parameters, without: readonly Mechanism[]): LoadResult[] {
   const policy = policyWithout(without)
-  return Array.from({ length: seeds }, (_, seed) => StepLoadSimulation.create(load, seed + 1, policy).run())
+  return Array.from({ length: seeds }, (_, position) => StepLoadSimulation.create(load, firstSeed + position, policy).run())
 }
 
 function rowOf (title: string, cell: (measure: (result: LoadResult) => number) => string): string {
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -75,12 +75,12 @@
     /** Gangs of one priority that yield to others of it, because starting them would use up the reserve for urgent work. */
     let deferred: WaitingGang[] = []
     const startDeferred = (): void => {
-      for (const gang of deferred) if (!this.policy.isHeldBack(gang, this.view.now)) this.startOrPreempt(gang, unplaceable)
+      for (const gang of deferred) this.startOrPreempt(gang, unplaceable)
       deferred = []
     }
     for (const gang of waitingGangs(this.state, this.guaranteed, this.view.now)) {
       if (deferred[0] !== undefined && deferred[0].queue.priority !== gang.queue.priority) startDeferred()
-      if (this.reserve.admits(gang)) this.startOrPreempt(gang, unplaceable)
+      if (this.policy.startsInTurn(gang, this.reserve)) this.startOrPreempt(gang, unplaceable)
       else deferred.push(gang)
     }
     startDeferred()
--- a/src/core/steps/urgent-reserve.ts
+++ b/src/core/steps/urgent-reserve.ts
@@ -1,7 +1,7 @@
 /**
  * Capacity that work without checkpoints should leave free, derived from the recent demand of urgent work. On a full fleet,
- * more accelerators are then held by work that can be stopped without losing progress. Work that would use up the reserve
- * starts after other work of its priority, and waits while it has slack left (see `policy.ts`).
+ * more accelerators are then held by work that can be stopped without losing progress. The reserve only affects the order of
+ * starts: capacity that no other work of the same priority can use is not left idle.
  */
 import { queueOfJob } from './jobs'
 import type { StepState } from './model'
--- a/src/core/steps/waiting-gangs.ts
+++ b/src/core/steps/waiting-gangs.ts
@@ -109,16 +109,7 @@
  * @returns milliseconds: the critical path times the queue's slack factor, plus the queue's target latency
  */
 export function objectiveMilliseconds (job: StepJob, queue: Queue): number {
-  return queue.slackFactor * expectedMilliseconds(job) + queue.targetLatencyMilliseconds
-}
-
-/**
- * The time that a job takes if none of its tasks waits.
- * @param job - the job
- * @returns length of its critical path by the caller's estimates, in milliseconds
- */
-export function expectedMilliseconds (job: StepJob): number {
-  return criticalPath(job, () => true)
+  return queue.slackFactor * criticalPath(job, () => true) + queue.targetLatencyMilliseconds
 }
 
 /** Length of the critical path through the steps that are not done, in milliseconds. */
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -19,8 +19,6 @@
   NoRack = 'no-rack',
   /** There is not enough free capacity, and its account's guaranteed accelerators are in use. */
   GuaranteeUsedUp = 'guarantee-used-up',
-  /** There is enough free capacity, which is kept for urgent work. */
-  HeldBack = 'held-back',
   NoFreeCapacity = 'no-room'
 }
 
@@ -59,16 +57,9 @@
   if (workers.length === 0) return WaitingReason.WorkersSilent
   if (workers.every(({ incarnation }) => constraints.suspects.has(incarnation))) return WaitingReason.WorkersSuspected
   if (prefersOneRack(step) && rackGroups(step, workers).length > 1 && fitsAcrossRacks(waiting, workers, capacity)) return WaitingReason.NoRack
-  if (queue.priority > 0 && waiting.requirements.losesWork && fitsNow(waiting, workers, capacity)) return WaitingReason.HeldBack
   return queue.priority === 0 && !guaranteed ? WaitingReason.GuaranteeUsedUp : WaitingReason.NoFreeCapacity
 }
 
-/** Copies the capacity only for gangs of several tasks: most waiting gangs are single tasks. */
-function fitsNow (waiting: WaitingGang, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): boolean {
-  if (waiting.gang.size === 1) return workers.some(({ incarnation }) => capacity.canHost(incarnation, waiting.requirements))
-  return rackGroups(waiting.step, workers).some((group) => placeTasks(waiting.requirements, taskPositions(waiting), group, capacity.copy(group)) !== undefined)
-}
-
 function fitsAcrossRacks (waiting: WaitingGang, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): boolean {
   return placeTasks(waiting.requirements, taskPositions(waiting), workers, capacity.copy(workers)) !== undefined
 }
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -197,10 +197,10 @@
   expect(decide(world)).toEqual(['start owner on a'])
 })
 
-test('after recent urgent demand, work without checkpoints yields to work with checkpoints, and waits while it has slack left', () => {
+test('after recent urgent demand, work without checkpoints yields to work with checkpoints, but no capacity stays idle', () => {
   const whole = step({ accelerators: 8 })
   const saving = { ...whole, checkpoints: true }
-  const started = (urgent: boolean, waitedMilliseconds = 0, mechanisms: readonly Mechanism[] = []): string[] => {
+  const started = (urgent: boolean, mechanisms: readonly Mechanism[] = []): string[] => {
     const world = StepWorld.create(['a', 'b', 'c', 'd'].map((name) => worker(name)))
     if (urgent) world.submit('urgent', [whole], 'urgent', 'one')
     decide(world)
@@ -208,43 +208,9 @@
     for (const name of ['plain1', 'plain2', 'plain3', 'plain4']) world.submit(name, [whole])
     world.submit('saving', [saving])
     world.submit('other', [saving], 'later')
-    world.now += waitedMilliseconds
     return scheduleSteps(world.state.steps, view(world), policyWithout(mechanisms)).map(shown).map((line) => line.split(' ')[1] ?? '')
   }
   expect(started(false)).toEqual(['plain1', 'plain2', 'plain3', 'plain4'])
-  expect(started(true)).toEqual(['plain1', 'plain2', 'saving', 'other'])
-  expect(started(true, 0, [Mechanism.HoldBack])).toEqual(['plain1', 'plain2', 'saving', 'plain3'])
-  expect(started(true, 1_500)).toEqual(['plain1', 'plain2', 'saving', 'plain3'])
-})
-
-test('in a burst, an urgent job beyond its guarantee starts at once, because work that could not be stopped for it was held back', () => {
-  const whole = step({ accelerators: 8, estimateMilliseconds: 10_000 })
-  const startOfSecondUrgentJob = (mechanisms: readonly Mechanism[]): string[] => {
-    const world = StepWorld.create(['a', 'b', 'c', 'd'].map((name) => worker(name)))
-    const decideWith = (): string[] => {
-      const decisions = scheduleSteps(world.state.steps, view(world), policyWithout(mechanisms))
-      world.applyAll(decisions)
-      return decisions.map(shown)
-    }
-    world.submit('first', [whole], 'urgent', 'one')
-    for (const name of ['plain1', 'plain2', 'plain3']) world.submit(name, [whole])
-    decideWith()
-    world.now += 1_000
-    world.submit('second', [whole], 'urgent', 'two')
-    return decideWith()
-  }
-  expect(startOfSecondUrgentJob([])).toEqual(['start second on c'])
-  expect(startOfSecondUrgentJob([Mechanism.HoldBack])).toEqual([])
-})
-
-test('work that was held back starts once part of its slack is spent, or once urgent demand has passed', () => {
-  const world = StepWorld.create([worker('a'), worker('b')])
-  const whole = step({ accelerators: 8, estimateMilliseconds: 20_000 })
-  world.submit('urgent', [whole], 'urgent', 'one')
-  world.submit('plain', [whole])
-  expect(decide(world)).toEqual(['start urgent on a'])
-  world.now += 5_900
-  expect(decide(world)).toEqual([])
-  world.now += 200
-  expect(decide(world)).toEqual(['start plain on b'])
+  expect(started(true)).toEqual(['plain1', 'plain2', 'saving', 'plain3'])
+  expect(started(true, [Mechanism.UrgentReserve])).toEqual(['plain1', 'plain2', 'plain3', 'plain4'])
 })
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -28,9 +28,6 @@
   full.submit('urgent', [whole], 'urgent', 'two')
   full.submit('normal', [step({ tasks: 3 })])
   expect(reasons(full)).toEqual([`urgent ${WaitingReason.GuaranteeUsedUp}`, `normal ${WaitingReason.NoFreeCapacity}`])
-  const kept = StepWorld.create([worker('a')])
-  kept.submit('normal', [whole])
-  expect(reasons(kept)).toEqual([`normal ${WaitingReason.HeldBack}`])
   full.apply({ kind: StepTransactionKind.LeaveIncarnation, at: full.now, incarnation: 'a@1' })
   expect(reasons(full)[1]).toBe(`normal ${WaitingReason.NoWorker}`)
 })
@@ -53,7 +50,7 @@
   world.start('waiting', 0, 0, ['a@1'])
   expect(logRound()).toEqual([])
   world.end('a@1', { job: 'waiting', step: 0, task: 0, attempt: 1 }, RunOutcome.Lost)
-  expect(logRound()).toEqual(['gang-waits held-back'])
+  expect(logRound()).toEqual(['gang-waits no-room'])
 })
 
 test('with a thousand waiting steps, the lines per round are limited and every step is logged eventually', () => {
