Log and count runs that a worker runs although the log does not assign them

The log lines could not tell why a worker ran more than the log counted: whether its incarnation was lost and announced again, a refusal was taken as proof, or a start was carried out late. New lines: runs-unassigned, worker-announced, start-unanswered; worker-lost gives the number of its runs, worker-seen the previous incarnation and the worker's clock, start-refused incarnation and term.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -154,7 +154,8 @@
     }
     this.current = next
     this.changingIncarnation = false
-    this.options.log('worker-seen', { incarnation: heartbeat.incarnation, service: heartbeat.service, rack: heartbeat.rack, address: heartbeat.address })
+    const { incarnation, service, rack, address, clock } = heartbeat
+    this.options.log('worker-seen', { incarnation, previous: current?.heartbeat.incarnation, service, rack, address, clock })
     this.report()
     this.wakePoll?.()
   }
@@ -260,14 +261,17 @@
       return true
     }
     if (outcome === OrderOutcome.Refused) { this.handleRefusedStart(tracked, key, refusal); return true }
-    if (outcome === OrderOutcome.Unknown) tracked.table = updateRun(tracked.table, key, { startUnconfirmed: true })
+    if (outcome === OrderOutcome.Unknown && !run.startUnconfirmed) {
+      this.options.log('start-unanswered', { run: runName(key), incarnation: tracked.heartbeat.incarnation, term: this.term })
+      tracked.table = updateRun(tracked.table, key, { startUnconfirmed: true })
+    }
     return false
   }
 
   /** A refusal proves that the run did not start only if no earlier order may still arrive. */
   private handleRefusedStart (tracked: TrackedIncarnation, key: RunKey, refusal?: OrderRefusal): void {
     const uncertain = tracked.table.runs.get(runName(key))?.startUnconfirmed === true || refusal === OrderRefusal.EndedBefore
-    this.options.log('start-refused', { run: runName(key), refusal: refusal ?? 'leaving', uncertain })
+    this.options.log('start-refused', { run: runName(key), incarnation: tracked.heartbeat.incarnation, refusal: refusal ?? 'leaving', uncertain, term: this.term })
     tracked.table = updateRun(tracked.table, key, { phase: uncertain ? RunPhase.Stopping : RunPhase.NotStarted })
     if (uncertain) void this.stopRun(tracked, key)
     this.report()
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -25,6 +25,9 @@
 /** Time after which a new leader has a report of every agent that can reach it, in milliseconds: three report intervals. */
 const REPORTS_COMPLETE_AFTER_MILLISECONDS = 1_600
 
+/** Limit of run names in a log line. */
+const MAX_LOGGED_RUNS = 10
+
 /** Outcomes that make a worker suspect: it failed a run, or did not accept one. */
 const suspectingOutcomes: ReadonlySet<RunOutcome> = new Set([RunOutcome.Failed, RunOutcome.NotStarted])
 
@@ -79,6 +82,8 @@
   private readonly lastReports = new Map<Supervisor, wire.WorkerReport>()
   private readonly trust = SuspectTracker.create()
   private readonly checkpointSelector = CheckpointSelector.create()
+  /** Names of the runs that the last report listed as running although the log does not assign them, by incarnation. */
+  private readonly unassignedRuns = new Map<string, readonly string[]>()
   private pendingReports: PendingReport[] = []
   private confirming = false
   private leadingSince = performance.now()
@@ -101,6 +106,7 @@
     this.progress.clear()
     this.lastReportAt.clear()
     this.trust.clear()
+    this.unassignedRuns.clear()
   }
 
   /** Ends all streams and refers the agents to the next leader. */
@@ -134,6 +140,11 @@
     return tasks.map((task) => this.progress.all.get(runName({ ...run, task }))?.percent ?? 0)
   }
 
+  /** Number of runs that workers run although the log does not assign them. */
+  get unassignedRunCount (): number {
+    return [...this.unassignedRuns.values()].reduce((sum, names) => sum + names.length, 0)
+  }
+
   /** Makes the workers suspect on which a run was stopped because it stalled. */
   suspectStalled (incarnations: readonly string[]): void {
     for (const incarnation of incarnations) this.trust.recordStall(incarnation, this.context.now())
@@ -162,6 +173,7 @@
       this.leaseExpiresAt.delete(incarnation)
       this.lastReportAt.delete(incarnation)
       this.progress.forget(incarnation)
+      this.unassignedRuns.delete(incarnation)
     }
   }
 
@@ -198,6 +210,7 @@
     if (report.life !== undefined) this.handleIncarnation(report.host, report.life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
+    this.logUnassignedRuns(supervisor.incarnation, report)
     this.pendingReports.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, receivedAt: performance.now() })
     this.lastReports.set(supervisor, report)
     void this.answerPendingReports()
@@ -237,6 +250,8 @@
 
   /** A new incarnation is not lost before a full lease has passed, so that it can obtain its first lease. */
   private submitAnnouncement (life: IncarnationDescription): void {
+    const { incarnation, host, worker } = life
+    this.context.log('worker-announced', { incarnation, host, worker, term: this.context.term() })
     this.leaseExpiresAt.set(life.incarnation, performance.now() + this.maxLeaseMilliseconds)
     this.submit({ kind: StepTransactionKind.AnnounceIncarnation, at: this.context.now(), life })
   }
@@ -246,7 +261,12 @@
   }
 
   private lossTransaction (incarnation: string): StepTransaction {
-    this.context.log('worker-lost', { incarnation, silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)) })
+    this.context.log('worker-lost', {
+      incarnation,
+      silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)),
+      runs: this.context.head().steps.incarnations.get(incarnation)?.runs.size ?? 0,
+      term: this.context.term()
+    })
     return {
       kind: StepTransactionKind.LoseIncarnation,
       at: this.context.now(),
@@ -266,6 +286,17 @@
     if (newEnds.length > 0) this.submit({ kind: StepTransactionKind.EndRuns, at: this.context.now(), incarnation, ends: newEnds })
   }
 
+  /** Logs runs that a worker runs although the log does not assign them to it: the log counts less capacity as used than it is. */
+  private logUnassignedRuns (incarnation: string, { runs }: wire.WorkerReport): void {
+    const recorded = this.context.head().steps.incarnations.get(incarnation)
+    const names = runs.flatMap(({ key, running }) => key === undefined || !running || recorded?.runs.has(runName(key)) === true ? [] : [runName(key)])
+    const before = this.unassignedRuns.get(incarnation) ?? []
+    if (names.length === 0) this.unassignedRuns.delete(incarnation)
+    else this.unassignedRuns.set(incarnation, names)
+    if (names.every((name) => before.includes(name))) return
+    this.context.log('runs-unassigned', { incarnation, recorded: recorded !== undefined, runs: names.slice(0, MAX_LOGGED_RUNS), count: names.length, term: this.context.term() })
+  }
+
   private updateTrust (incarnation: string, outcome: RunOutcome): void {
     if (suspectingOutcomes.has(outcome)) this.trust.recordFailure(incarnation, this.context.now())
     if (outcome === RunOutcome.Done) this.trust.recordSuccess(incarnation)
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -12,6 +12,7 @@
   readonly world = StepWorld.create([worker('a')])
   readonly proposed: StepTransaction[] = []
   readonly orders: WorkerOrders[] = []
+  readonly logged: object[] = []
   confirmed = true
   confirmations: Array<() => void> = []
   holdConfirmations = false
@@ -30,7 +31,7 @@
     },
     controlHosts: () => ['127.0.0.1:1'],
     leaseMilliseconds: LEASE,
-    log: () => {}
+    log: (event, fields) => { this.logged.push({ event, ...fields }) }
   })
 
   call = this.attach()
@@ -107,6 +108,18 @@
   expect((await leader.report({ runs: [{ key, running: true }] }))?.stops).toEqual([key])
 })
 
+test('runs that a worker runs although the log does not assign them are logged once and counted until they are gone', async () => {
+  const key = { job: 'j', step: 0, task: 0, attempt: 1 }
+  await leader.report({ runs: [{ key, running: true }] })
+  await leader.report({ runs: [{ key, running: true }] })
+  expect(leader.logged.filter((line) => 'event' in line && line.event === 'runs-unassigned')).toEqual([
+    { event: 'runs-unassigned', incarnation: 'a@1', recorded: true, runs: ['j.0.0.1'], count: 1, term: 3 }
+  ])
+  expect(leader.supervisors.unassignedRunCount).toBe(1)
+  await leader.report({ runs: [] })
+  expect(leader.supervisors.unassignedRunCount).toBe(0)
+})
+
 test('run ends are acknowledged once they are in the log, and are proposed only once', async () => {
   leader.world.submit('j', [step()])
   leader.world.start('j', 0, 0, ['a@1'])
