Settle refused starts by a stop, since a refusal does not prove that the run never began

Cause: the agent reported a run as not started when its start was refused without an earlier unanswered order. An agent that has just restarted knows no earlier orders, and the leader sends a start again until the run is listed. So a refusal (unhealthy, leaving, too late, fenced) of the second order ended a run in the log that the process before had started: its capacity counted as free, and the task was started elsewhere. The lists did not correct this, as a run once taken as not started stayed so.

Change: a refused start is always followed by a stop; the worker remembers it, and only lists requested after its answer settle the run. A listed run is never taken as not started. A stop that an unhealthy worker refuses is sent again after 60 ms instead of 300.

--- a/src/agent/run-table.ts
+++ b/src/agent/run-table.ts
@@ -90,7 +90,7 @@
   for (const [name, run] of table.runs) {
     const listedRun = listed.get(name)
     if (ended.has(name)) continue
-    if (listedRun !== undefined) runs.set(name, { ...run, ...listedRun, listed: true, phase: run.phase === RunPhase.Starting ? RunPhase.Running : run.phase })
+    if (listedRun !== undefined) runs.set(name, { ...run, ...listedRun, listed: true, phase: phaseOfListedRun(run) })
     else runs.set(name, updateUnlistedRun(run, confirmedStops.has(name)))
   }
   for (const [name, listedRun] of listed) {
@@ -99,6 +99,12 @@
   return { ...table, runs, ends }
 }
 
+/** A list outweighs any earlier conclusion that the run would not start. */
+function phaseOfListedRun ({ phase }: TrackedRun): RunPhase {
+  if (phase === RunPhase.Starting) return RunPhase.Running
+  return phase === RunPhase.NotStarted ? RunPhase.Stopping : phase
+}
+
 /**
  * A run that was listed and is now neither running nor ended gets a stop order; only its answer settles that it does not
  * run.
--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -18,11 +18,8 @@
 const MAX_POLL_WAIT_MILLISECONDS = 700
 /** Delay before an order or a poll is sent again, in milliseconds. */
 const RETRY_MILLISECONDS = 60
-/**
- * Delay before a refused stop is sent again, in milliseconds; workers refuse one that has a lower fencing token than they
- * have seen.
- */
-const REFUSED_RETRY_MILLISECONDS = 300
+/** Delay before a stop with an outdated fencing token is sent again, in milliseconds: a new token comes with the next leader's orders. */
+const FENCED_RETRY_MILLISECONDS = 300
 /** Interval of polls while control has not recorded a listed end, or a start or stop is pending, in milliseconds. */
 const UNRECORDED_POLL_MILLISECONDS = 60
 /** Upper limit of tries to revoke an unanswered start at the next incarnation before that is announced. */
@@ -268,12 +265,14 @@
     return false
   }
 
-  /** A refusal proves that the run did not start only if no earlier order may still arrive. */
+  /**
+   * Settles a run whose start was refused. An earlier order, of this process or of one before it, may have started the run
+   * or may still arrive, so only a stop and the lists requested after it show that it never starts.
+   */
   private handleRefusedStart (tracked: TrackedIncarnation, key: RunKey, refusal?: OrderRefusal): void {
-    const uncertain = tracked.table.runs.get(runName(key))?.startUnconfirmed === true || refusal === OrderRefusal.EndedBefore
-    this.options.log('start-refused', { run: runName(key), incarnation: tracked.heartbeat.incarnation, refusal: refusal ?? 'leaving', uncertain, term: this.term })
-    tracked.table = updateRun(tracked.table, key, { phase: uncertain ? RunPhase.Stopping : RunPhase.NotStarted })
-    if (uncertain) void this.stopRun(tracked, key)
+    this.options.log('start-refused', { run: runName(key), incarnation: tracked.heartbeat.incarnation, refusal: refusal ?? 'leaving', term: this.term })
+    tracked.table = updateRun(tracked.table, key, { phase: RunPhase.Stopping })
+    void this.stopRun(tracked, key)
     this.report()
   }
 
@@ -286,7 +285,7 @@
       const answer = await this.options.worker.stop(this.context(tracked), key)
       this.updateClock(tracked, answer)
       if (answer.outcome === OrderOutcome.Done) { tracked.confirmedStops.add(name); break }
-      await pause(answer.outcome === OrderOutcome.Refused ? REFUSED_RETRY_MILLISECONDS : RETRY_MILLISECONDS)
+      await pause(answer.refusal === OrderRefusal.Fenced ? FENCED_RETRY_MILLISECONDS : RETRY_MILLISECONDS)
     }
     tracked.openStops.delete(name)
     this.wakePoll?.()
