Revoke the starts for a restarted worker before its new incarnation is registered

Cause: orders name the worker and not its incarnation, so a start for one incarnation may be executed by the next one of the same name: sent again by the agent before the heartbeat of the new one, or carried out late. The agent revoked only starts whose last order had no answer, gave up after three tries, and meanwhile already reported the old incarnation as gone, in one report with that incarnation as the present one: the leader recorded it as lost and announced it again with nothing in use. An agent that had restarted as well revoked nothing. Polls brought the end numbers and the lease of the old incarnation to the new one.

Change: the agent keeps every unanswered start for a minute and revokes it at each new incarnation; it reports an incarnation only after its first list, with predecessors as gone only then. The leader tells the agent to revoke all runs that the log assigns to the predecessor of a worker, and records the loss and the new incarnation only once each is settled and nothing runs there. After a call without an answer, starts, lease and end numbers wait until lists have shown which incarnation answers.

One test of the old revocation now restarts its fake worker as well; its assertions are unchanged.

--- a/src/agent/run-table.ts
+++ b/src/agent/run-table.ts
@@ -18,8 +18,6 @@
 export interface TrackedRun {
   readonly key: RunKey
   readonly phase: RunPhase
-  /** A start order was sent and got no answer. */
-  readonly startUnconfirmed: boolean
   /** The worker lists the run as running. */
   readonly listed: boolean
   readonly percent: number
@@ -46,7 +44,7 @@
  */
 export function addRun (table: RunTable, key: RunKey, phase: RunPhase): RunTable {
   if (table.runs.has(runName(key)) || hasEnd(table, key)) return table
-  return withRun(table, { key, phase, startUnconfirmed: false, listed: false, percent: 0, checkpoint: '' })
+  return withRun(table, { key, phase, listed: false, percent: 0, checkpoint: '' })
 }
 
 /**
@@ -94,7 +92,7 @@
     else runs.set(name, updateUnlistedRun(run, confirmedStops.has(name)))
   }
   for (const [name, listedRun] of listed) {
-    if (!runs.has(name)) runs.set(name, { ...listedRun, phase: RunPhase.Running, startUnconfirmed: false, listed: true })
+    if (!runs.has(name)) runs.set(name, { ...listedRun, phase: RunPhase.Running, listed: true })
   }
   return { ...table, runs, ends }
 }
--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -20,10 +20,10 @@
 const RETRY_MILLISECONDS = 60
 /** Delay before a stop with an outdated fencing token is sent again, in milliseconds: a new token comes with the next leader's orders. */
 const FENCED_RETRY_MILLISECONDS = 300
+/** Time after which an unanswered start is no longer expected to arrive at the worker, in milliseconds. */
+const UNANSWERED_START_RETENTION_MILLISECONDS = 60_000
 /** Interval of polls while control has not recorded a listed end, or a start or stop is pending, in milliseconds. */
 const UNRECORDED_POLL_MILLISECONDS = 60
-/** Upper limit of tries to revoke an unanswered start at the next incarnation before that is announced. */
-const MAX_REVOKE_TRIES = 3
 
 /** The options of a supervisor. */
 export interface SupervisorOptions {
@@ -57,12 +57,31 @@
   readonly openStops: Set<string>
   /** Number of the last recorded end that the worker was told of, -1 before the first poll. */
   polledAcknowledged: number
+  /** Names of starts for earlier incarnations that must be revoked at this one before it is reported. */
+  readonly toRevoke: ReadonlySet<string>
+  /** Earlier incarnations, which are reported as gone together with the first report of this one. */
+  readonly predecessors: readonly string[]
+  /** The worker has listed its runs, and the starts for earlier incarnations are revoked. */
+  reportable: boolean
+  /**
+   * The last call was answered by this incarnation. After a call without an answer the worker may have restarted under the
+   * same name; then neither starts nor the lease and the end numbers of this incarnation may reach it.
+   */
+  verified: boolean
+}
+
+/** A start that got no answer, and may still be executed. */
+interface UnansweredStart {
+  readonly key: RunKey
+  /** Monotonic milliseconds. */
+  readonly sentAt: number
 }
 
 /** The agent beside a worker that runs the tasks of step jobs. */
 export class Supervisor {
   private current?: TrackedIncarnation
-  private changingIncarnation = false
+  /** Starts that got no answer, of all incarnations, by name. */
+  private readonly unansweredStarts = new Map<string, UnansweredStart>()
   private readonly endedIncarnations = new Set<string>()
   private readonly stream: ControlStream<WorkerReport, WorkerOrders>
   private term = 0
@@ -113,7 +132,7 @@
    */
   handleHeartbeat (heartbeat: WorkerHeartbeat): void {
     const { current } = this
-    if (current === undefined || current.heartbeat.incarnation !== heartbeat.incarnation) { void this.beginIncarnation(heartbeat); return }
+    if (current === undefined || current.heartbeat.incarnation !== heartbeat.incarnation) { this.beginIncarnation(heartbeat); return }
     current.clock = Math.max(current.clock, heartbeat.clock)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
@@ -130,39 +149,62 @@
     if (current?.heartbeat.worker !== worker) return
     this.options.log('worker-left', { incarnation: current.heartbeat.incarnation })
     this.current = undefined
-    this.endedIncarnations.add(current.heartbeat.incarnation)
+    this.endIncarnations([...current.predecessors, current.heartbeat.incarnation])
     this.report()
   }
 
+  private endIncarnations (incarnations: readonly string[]): void {
+    for (const incarnation of incarnations) this.endedIncarnations.add(incarnation)
+  }
+
   /**
-   * Starts to track a new incarnation. Unanswered starts of the earlier one may still arrive, so they are revoked before the
-   * new one is announced.
+   * Starts to track a new incarnation. Unanswered starts for earlier ones may still be executed by it, as orders name the
+   * worker and not its incarnation, so they are revoked before the new one is reported and the earlier ones as gone.
    */
-  private async beginIncarnation (heartbeat: WorkerHeartbeat): Promise<void> {
+  private beginIncarnation (heartbeat: WorkerHeartbeat): void {
     const { current } = this
-    if (this.changingIncarnation || this.endedIncarnations.has(heartbeat.incarnation) || (current !== undefined && heartbeat.startedAt < current.heartbeat.startedAt)) return
-    this.changingIncarnation = true
+    const { incarnation } = heartbeat
+    if (this.endedIncarnations.has(incarnation) || current?.predecessors.includes(incarnation) === true) return
+    if (current !== undefined && heartbeat.startedAt < current.heartbeat.startedAt) return
+    const unanswered = this.recentUnansweredStarts()
     const next: TrackedIncarnation = {
-      heartbeat, leaving: heartbeat.leaving, clock: heartbeat.clock, leaseUntil: 0, table: emptyRunTable, startOrders: new Map(), confirmedStops: new Set(), openStops: new Set(), polledAcknowledged: -1
-    }
-    if (current !== undefined) {
-      this.endedIncarnations.add(current.heartbeat.incarnation)
-      for (const run of current.table.runs.values()) if (run.startUnconfirmed) await this.revoke(next, run.key)
+      heartbeat,
+      leaving: heartbeat.leaving,
+      clock: heartbeat.clock,
+      leaseUntil: 0,
+      table: unanswered.reduce((table, key) => addRun(table, key, RunPhase.Stopping), emptyRunTable),
+      startOrders: new Map(),
+      confirmedStops: new Set(),
+      openStops: new Set(),
+      polledAcknowledged: -1,
+      toRevoke: new Set(unanswered.map(runName)),
+      predecessors: current === undefined ? [] : [...current.predecessors, current.heartbeat.incarnation],
+      reportable: false,
+      verified: false
     }
     this.current = next
-    this.changingIncarnation = false
-    const { incarnation, service, rack, address, clock } = heartbeat
-    this.options.log('worker-seen', { incarnation, previous: current?.heartbeat.incarnation, service, rack, address, clock })
-    this.report()
+    const { service, rack, address, clock } = heartbeat
+    this.options.log('worker-seen', { incarnation, previous: current?.heartbeat.incarnation, service, rack, address, clock, toRevoke: unanswered.length })
+    this.resumeStops(next)
     this.wakePoll?.()
   }
 
-  private async revoke (tracked: TrackedIncarnation, key: RunKey): Promise<void> {
-    for (let tries = 0; tries < MAX_REVOKE_TRIES; tries++) {
-      const { outcome } = await this.options.worker.stop(this.context(tracked), key)
-      if (outcome === OrderOutcome.Done) return
-    }
-    this.options.log('revoke-unanswered', { run: runName(key) })
+  /** Returns the unanswered starts that may still be executed, and forgets the others. */
+  private recentUnansweredStarts (): RunKey[] {
+    const now = performance.now()
+    for (const [name, { sentAt }] of this.unansweredStarts) if (now - sentAt > UNANSWERED_START_RETENTION_MILLISECONDS) this.unansweredStarts.delete(name)
+    return [...this.unansweredStarts.values()].map(({ key }) => key)
+  }
+
+  /** Makes an incarnation reportable once the worker's lists show that no start for an earlier incarnation runs or can still run. */
+  private updateReportable (tracked: TrackedIncarnation): void {
+    if (tracked.reportable) return
+    const unsettled = [...tracked.toRevoke].some((name) => (tracked.table.runs.get(name)?.phase ?? RunPhase.NotStarted) !== RunPhase.NotStarted)
+    if (unsettled) return
+    for (const [name, { key }] of tracked.table.runs) if (tracked.toRevoke.has(name)) this.removeRun(tracked, key)
+    tracked.reportable = true
+    this.endIncarnations(tracked.predecessors)
+    this.report()
   }
 
   private report (): void {
@@ -179,7 +221,7 @@
     this.sequence += 1
     const { host } = this.options
     const gone = [...this.endedIncarnations].slice(-8)
-    if (current === undefined) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
+    if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
     const { worker, incarnation, service, dataCentre, rack, labels, processors, memoryMegabytes, accelerators } = current.heartbeat
     const runs = [...current.table.runs.values()].filter(({ phase }) => phase !== RunPhase.NotStarted)
     return WorkerReport.fromPartial({
@@ -201,7 +243,7 @@
     this.stream.setSilenceTimeout(SILENCE_TIMEOUT_MILLISECONDS)
     this.options.hosts.updateFromLeader(orders.controlHosts)
     const { current } = this
-    if (current === undefined || orders.incarnation !== current.heartbeat.incarnation) return
+    if (current?.reportable !== true || orders.incarnation !== current.heartbeat.incarnation) return
     current.leaseUntil = Math.max(current.leaseUntil, orders.leaseUntil)
     current.table = acknowledge(current.table, orders.acknowledged)
     for (const order of orders.starts) this.acceptStart(current, order)
@@ -237,31 +279,43 @@
       const order = tracked.startOrders.get(name)
       if (order === undefined) return
       if (tracked.leaving) { this.handleRefusedStart(tracked, key); return }
-      if (tracked.leaseUntil === 0) { await pause(RETRY_MILLISECONDS); continue }
+      if (tracked.leaseUntil === 0 || !await this.verify(tracked)) { await pause(RETRY_MILLISECONDS); continue }
+      if (this.current !== tracked || tracked.table.runs.get(name)?.phase !== RunPhase.Starting) return
       const { payload, checkpoint } = order
       const answer = await this.options.worker.start(this.context(tracked), { key, payload, checkpoint, leaseUntil: tracked.leaseUntil })
+      if (answer.outcome === OrderOutcome.Unknown) this.recordUnansweredStart(tracked, key)
       if (this.current !== tracked) return
-      this.updateClock(tracked, answer)
+      this.handleAnswer(tracked, answer)
       if (this.isStartSettled(tracked, key, answer)) return
       await pause(RETRY_MILLISECONDS)
     }
   }
 
+  /** Returns whether the worker is still this incarnation, asking it if the last call was not answered. */
+  private async verify (tracked: TrackedIncarnation): Promise<boolean> {
+    if (tracked.verified) return true
+    tracked.verified = typeof await this.options.worker.poll(this.context(tracked), { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }) !== 'string'
+    return tracked.verified
+  }
+
+  private recordUnansweredStart (tracked: TrackedIncarnation, key: RunKey): void {
+    const name = runName(key)
+    if (!this.unansweredStarts.has(name)) this.options.log('start-unanswered', { run: name, incarnation: tracked.heartbeat.incarnation, term: this.term })
+    this.unansweredStarts.set(name, { key, sentAt: performance.now() })
+    this.recentUnansweredStarts()
+  }
+
   /** Returns whether the start need not be sent again. */
   private isStartSettled (tracked: TrackedIncarnation, key: RunKey, { outcome, refusal }: OrderAnswer): boolean {
     const run = tracked.table.runs.get(runName(key))
     if (run === undefined) return true
     if (outcome === OrderOutcome.Done) {
-      if (run.phase === RunPhase.Starting) tracked.table = updateRun(tracked.table, key, { phase: RunPhase.Running, listed: true, startUnconfirmed: false })
+      if (run.phase === RunPhase.Starting) tracked.table = updateRun(tracked.table, key, { phase: RunPhase.Running, listed: true })
       this.report()
       this.wakePoll?.()
       return true
     }
     if (outcome === OrderOutcome.Refused) { this.handleRefusedStart(tracked, key, refusal); return true }
-    if (outcome === OrderOutcome.Unknown && !run.startUnconfirmed) {
-      this.options.log('start-unanswered', { run: runName(key), incarnation: tracked.heartbeat.incarnation, term: this.term })
-      tracked.table = updateRun(tracked.table, key, { startUnconfirmed: true })
-    }
     return false
   }
 
@@ -283,7 +337,7 @@
     tracked.openStops.add(name)
     while (this.current === tracked && tracked.table.runs.get(name)?.phase === RunPhase.Stopping) {
       const answer = await this.options.worker.stop(this.context(tracked), key)
-      this.updateClock(tracked, answer)
+      this.handleAnswer(tracked, answer)
       if (answer.outcome === OrderOutcome.Done) { tracked.confirmedStops.add(name); break }
       await pause(answer.refusal === OrderRefusal.Fenced ? FENCED_RETRY_MILLISECONDS : RETRY_MILLISECONDS)
     }
@@ -291,8 +345,9 @@
     this.wakePoll?.()
   }
 
-  private updateClock (tracked: TrackedIncarnation, { clock }: OrderAnswer): void {
+  private handleAnswer (tracked: TrackedIncarnation, { outcome, clock }: OrderAnswer): void {
     tracked.clock = Math.max(tracked.clock, clock)
+    if (unansweredOutcomes.has(outcome)) tracked.verified = false
   }
 
   private async pollUntilEnded (): Promise<void> {
@@ -304,23 +359,26 @@
   }
 
   private needsPoll (tracked: TrackedIncarnation): boolean {
-    return tracked.polledAcknowledged < tracked.table.acknowledged || tracked.table.runs.size > 0 || tracked.table.ends.size > 0
+    return !tracked.reportable || !tracked.verified || tracked.polledAcknowledged < tracked.table.acknowledged || tracked.table.runs.size > 0 || tracked.table.ends.size > 0
   }
 
   private async poll (tracked: TrackedIncarnation): Promise<void> {
     const confirmedStops = new Set(tracked.confirmedStops)
-    const { acknowledged } = tracked.table
+    const { verified } = tracked
+    const acknowledged = verified ? tracked.table.acknowledged : 0
     const unrecorded = tracked.table.ends.size > 0
     const waiting = [...tracked.table.runs.values()].some(({ phase }) => phase !== RunPhase.Running)
-    const waitMilliseconds = unrecorded || waiting || tracked.table.runs.size === 0 ? 0 : MAX_POLL_WAIT_MILLISECONDS
-    const lists = await this.options.worker.poll(this.context(tracked), { acknowledged, leaseUntil: tracked.leaseUntil, waitMilliseconds })
+    const waitMilliseconds = unrecorded || waiting || !verified || tracked.table.runs.size === 0 ? 0 : MAX_POLL_WAIT_MILLISECONDS
+    const lists = await this.options.worker.poll(this.context(tracked), { acknowledged, leaseUntil: verified ? tracked.leaseUntil : 0, waitMilliseconds })
     if (this.current !== tracked) return
-    if (typeof lists === 'string') { await this.waitForWake(RETRY_MILLISECONDS); return }
-    tracked.polledAcknowledged = acknowledged
+    if (typeof lists === 'string') { tracked.verified = false; await this.waitForWake(RETRY_MILLISECONDS); return }
+    tracked.verified = true
+    if (verified) tracked.polledAcknowledged = acknowledged
     tracked.clock = Math.max(tracked.clock, lists.clock)
     const before = tracked.table
     tracked.table = applyRunLists(before, lists, confirmedStops)
     this.resumeStops(tracked)
+    this.updateReportable(tracked)
     if (hasChanged(before, tracked.table)) this.report()
     if (unrecorded || waiting) await this.waitForWake(UNRECORDED_POLL_MILLISECONDS)
   }
@@ -343,6 +401,9 @@
   }
 }
 
+/** Outcomes after which the worker may have restarted. */
+const unansweredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
+
 function hasChanged (before: RunTable, after: RunTable): boolean {
   if (before.ends.size !== after.ends.size || before.runs.size !== after.runs.size) return true
   return [...after.runs].some(([name, run]) => phaseOf(before.runs.get(name)) !== phaseOf(run))
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -206,8 +206,9 @@
 
   private handleReport (call: SupervisorCall, report: wire.WorkerReport): void {
     const supervisor = this.register(call, report)
-    for (const incarnation of report.gone) this.submitLoss(incarnation)
-    if (report.life !== undefined) this.handleIncarnation(report.host, report.life)
+    const { life } = report
+    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation)
+    if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
     this.logUnassignedRuns(supervisor.incarnation, report)
@@ -238,16 +239,43 @@
     return supervisor
   }
 
-  /** A host has one worker, so other incarnations on the same host are lost. */
-  private handleIncarnation (host: string, life: wire.WorkerLife): void {
-    const { incarnations } = this.context.head().steps
-    for (const other of incarnations.values()) if (other.host === host && other.incarnation !== life.incarnation) this.submitLoss(other.incarnation)
+  /**
+   * A host has one worker, so other incarnations on it have ended. The new one is registered only once it is known to run
+   * nothing: what it runs has been stopped, and starts for its predecessors are revoked.
+   */
+  private handleIncarnation (report: wire.WorkerReport, life: wire.WorkerLife): void {
+    const { host, runs } = report
+    const recorded = this.context.head().steps.incarnations.get(life.incarnation)
     const { leaving, ...description } = life
-    const recorded = incarnations.get(life.incarnation)
-    if (recorded === undefined) this.submitAnnouncement({ host, ...description })
+    if (this.startsToRevoke(report).length === 0) {
+      for (const other of this.predecessors(host, life)) this.submitLoss(other.incarnation)
+      if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
+    }
     if (leaving && recorded?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveIncarnation, at: this.context.now(), incarnation: life.incarnation })
   }
 
+  private predecessors (host: string, { incarnation }: wire.WorkerLife): WorkerIncarnation[] {
+    return [...this.context.head().steps.incarnations.values()].filter((other) => other.host === host && other.incarnation !== incarnation)
+  }
+
+  /** Whether the report is of a later incarnation of the same worker; the earlier one is then lost once its starts are revoked. */
+  private isSucceededBy (incarnation: string, { host, life }: wire.WorkerReport): boolean {
+    return life !== undefined && this.predecessors(host, life).some((other) => other.incarnation === incarnation && other.worker === life.worker)
+  }
+
+  /**
+   * Runs of earlier incarnations of the reported worker that the agent has not yet settled at the present one. Orders name
+   * the worker and not its incarnation, so starts for an earlier one may be executed by the present one.
+   */
+  private startsToRevoke ({ host, life, ends }: wire.WorkerReport): RunKey[] {
+    if (life === undefined) return []
+    const settled = new Set(ends.flatMap(({ key }) => key === undefined ? [] : [runName(key)]))
+    return this.predecessors(host, life)
+      .filter(({ worker }) => worker === life.worker)
+      .flatMap(({ runs }) => [...runs.values()])
+      .filter((key) => !settled.has(runName(key)))
+  }
+
   /** A new incarnation is not lost before a full lease has passed, so that it can obtain its first lease. */
   private submitAnnouncement (life: IncarnationDescription): void {
     const { incarnation, host, worker } = life
@@ -370,7 +398,7 @@
     })
     const notStarted = (report?.ends ?? []).filter(({ number }) => number === 0)
     const unexpected = [...report?.runs ?? [], ...notStarted].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
-    return [...stopping, ...unexpected]
+    return [...stopping, ...unexpected, ...report === undefined ? [] : this.startsToRevoke(report)]
   }
 
   private submit (transaction: StepTransaction): void {
--- a/test/supervisor-fixture.ts
+++ b/test/supervisor-fixture.ts
@@ -13,7 +13,10 @@
   incarnation: 'w@5', worker: 'w', startedAt: 5, address: '127.0.0.1:1', service: 'proofs', dataCentre: 'd', rack: 'r', labels: ['a', 'r'], processors: 1, memoryMegabytes: 1, accelerators: 1, leaving: false, clock: 1_000, sequence: 1
 }
 
-/** Records the calls to it. Stops end running runs at once. */
+/**
+ * Records the calls to it. Stops end running runs at once. As with the platform's workers, orders reach whatever incarnation
+ * runs under the worker's name; only lists tell incarnations apart.
+ */
 export class FakeWorker implements WorkerApi {
   readonly calls: string[] = []
   /** Answers to the next starts; further ones succeed. */
@@ -24,6 +27,14 @@
   ends: ListedEnd[] = []
   polls: PollRequest[] = []
   answersPolls = true
+  private startedAt = heartbeat.startedAt
+
+  /** Restarts under the same name, with nothing running. */
+  restart (startedAt: number): void {
+    this.startedAt = startedAt
+    this.running = []
+    this.ends = []
+  }
 
   async start ({ worker }: OrderContext, { key, leaseUntil }: TaskStart): Promise<OrderAnswer> {
     this.calls.push(`start ${key.job} ${key.attempt} at ${worker} until ${leaseUntil}`)
@@ -39,10 +50,11 @@
     return await Promise.resolve(answer)
   }
 
-  async poll (_context: OrderContext, request: PollRequest): Promise<RunLists | OrderOutcome> {
+  async poll ({ startedAt }: OrderContext, request: PollRequest): Promise<RunLists | OrderOutcome> {
     this.polls.push(request)
     await new Promise((resolve) => { setTimeout(resolve, 5) })
     if (!this.answersPolls) return OrderOutcome.Unknown
+    if (startedAt !== this.startedAt) return OrderOutcome.OtherIncarnation
     return { clock: 2_000, running: [...this.running], ends: this.ends.filter(({ number }) => number > request.acknowledged) }
   }
 
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -57,6 +57,7 @@
   fixture.worker.answers = Array.from({ length: 1_000 }, () => noAnswer)
   fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
   await until(() => fixture.worker.calls.length > 0)
+  fixture.worker.restart(9)
   fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w2@9', worker: 'w2', startedAt: 9 })
   await until(() => fixture.lastReport?.life?.incarnation === 'w2@9')
   expect(fixture.worker.calls.filter((call) => call.startsWith('stop'))).toEqual(['stop j 1 at w2'])
@@ -65,6 +66,67 @@
   expect(fixture.lastReport?.life?.incarnation).toBe('w2@9')
 })
 
+test('no incarnation is reported as gone while a start that may still arrive at its successor is not revoked', async () => {
+  fixture.worker.answers = Array.from({ length: 1_000 }, () => noAnswer)
+  fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
+  await until(() => fixture.worker.calls.length > 0)
+  fixture.worker.restart(9)
+  fixture.worker.stopAnswers = Array.from({ length: 8 }, () => noAnswer)
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@9', startedAt: 9 })
+  fixture.sendOrders({ starts: [{ key: { ...key, job: 'next' }, payload: 'text' }] })
+  await new Promise((resolve) => { setTimeout(resolve, 250) })
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@9', startedAt: 9, sequence: 2 })
+  await until(() => fixture.lastReport?.life?.incarnation === 'w@9')
+  const revokedAt = fixture.reports.findIndex(({ life }) => life?.incarnation === 'w@9')
+  expect(fixture.reports.slice(0, revokedAt).flatMap(({ gone }) => gone)).toEqual([])
+  expect(fixture.lastReport?.gone).toEqual(['w@5'])
+  expect(fixture.worker.calls.filter((call) => call.startsWith('stop'))).toHaveLength(9)
+  expect(fixture.worker.calls.filter((call) => call.startsWith('start next'))).toEqual([])
+})
+
+test('an unanswered start is revoked at the next incarnation even if a later order for the run was answered and the run has ended', async () => {
+  fixture.worker.answers = [noAnswer]
+  fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
+  await until(() => fixture.worker.running.length === 1)
+  fixture.worker.running = []
+  fixture.worker.ends = [{ number: 1, key, outcome: RunOutcome.Done, checkpoint: '' }]
+  await until(() => fixture.lastReport?.ends.length === 1)
+  fixture.sendOrders({ acknowledged: 1 })
+  await until(() => fixture.worker.polls.at(-1)?.acknowledged === 1)
+  fixture.worker.restart(9)
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@9', startedAt: 9 })
+  await until(() => fixture.lastReport?.life?.incarnation === 'w@9')
+  expect(fixture.worker.calls.at(-1)).toBe('stop j 1 at w')
+  expect(fixture.lastReport).toMatchObject({ runs: [], ends: [], gone: ['w@5'] })
+})
+
+test('a new incarnation is reported only with the list of what it runs', async () => {
+  fixture.worker.restart(9)
+  fixture.worker.running = [{ key, checkpoint: '', percent: 0 }]
+  fixture.worker.answersPolls = false
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@9', startedAt: 9 })
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  fixture.worker.answersPolls = true
+  await until(() => fixture.lastReport?.life?.incarnation === 'w@9')
+  const first = fixture.reports.find(({ life }) => life?.incarnation === 'w@9')
+  expect(first?.runs).toMatchObject([{ key, running: true }])
+})
+
+test('after a call without an answer, neither starts nor lease nor end numbers reach a worker that may have restarted', async () => {
+  fixture.worker.ends = [{ number: 7, key: { ...key, job: 'other' }, outcome: RunOutcome.Done, checkpoint: '' }]
+  fixture.sendOrders({ acknowledged: 7, starts: [{ key: { ...key, job: 'first' }, payload: 'text' }] })
+  await until(() => fixture.worker.polls.at(-1)?.acknowledged === 7)
+  fixture.worker.answersPolls = false
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  fixture.worker.restart(9)
+  const pollsBefore = fixture.worker.polls.length
+  fixture.worker.answersPolls = true
+  fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
+  await new Promise((resolve) => { setTimeout(resolve, 300) })
+  expect(fixture.worker.polls.slice(pollsBefore).filter(({ acknowledged, leaseUntil }) => acknowledged > 0 || leaseUntil > 0)).toEqual([])
+  expect(fixture.worker.calls.filter((call) => call.startsWith('start j'))).toEqual([])
+})
+
 test('a leaving worker gets no start, even one that control has already ordered', async () => {
   fixture.supervisor.handleHeartbeat({ ...heartbeat, leaving: true, sequence: 2 })
   fixture.standingOrders = { starts: [{ key, payload: 'text', checkpoint: '' }] }
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -138,6 +138,43 @@
   expect([...leader.world.state.steps.incarnations.keys()]).toEqual(['b@1'])
 })
 
+test('a worker that restarted under its name is registered only once the starts for its predecessor are revoked there', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  const key = { job: 'j', step: 0, task: 0, attempt: 1 }
+  const { host, ...life } = worker('a', { incarnation: 'a@2' })
+  const restarted = { host, life: { ...life, labels: [] } }
+  for (const gone of [[], ['a@1']]) {
+    expect(await leader.report({ ...restarted, gone })).toMatchObject({ incarnation: 'a@2', leaseUntil: 0, starts: [], stops: [key] })
+    expect(await leader.report({ ...restarted, gone, runs: [{ key, running: false }] })).toMatchObject({ leaseUntil: 0 })
+  }
+  expect(leader.proposed).toEqual([])
+  await leader.report({ ...restarted, gone: ['a@1'], ends: [{ number: 0, key, outcome: RunOutcome.NotStarted }] })
+  expect(leader.proposed.map(({ kind }) => kind)).toEqual([StepTransactionKind.LoseIncarnation, StepTransactionKind.AnnounceIncarnation])
+  expect([...leader.world.state.steps.incarnations.keys()]).toEqual(['a@2'])
+})
+
+test('an incarnation that is not registered and runs something is told to stop it, and registered once it has', async () => {
+  const { host, ...life } = worker('b')
+  const key = { job: 'j', step: 0, task: 0, attempt: 1 }
+  expect(await leader.report({ host, life: { ...life, labels: [] }, runs: [{ key, running: true }] })).toMatchObject({ incarnation: 'b@1', leaseUntil: 0, stops: [key] })
+  expect(leader.proposed).toEqual([])
+  await leader.report({ host, life: { ...life, labels: [] }, ends: [{ number: 1, key, outcome: RunOutcome.Stopped }] })
+  expect(leader.world.state.steps.incarnations.has('b@1')).toBe(true)
+})
+
+test('a restarted worker whose predecessor was already lost, or left, is registered at once', async () => {
+  leader.world.apply({ kind: StepTransactionKind.LoseIncarnation, at: Date.now(), incarnation: 'a@1', checkpoints: [] })
+  const { host, ...life } = worker('a', { incarnation: 'a@2' })
+  await leader.report({ host, life: { ...life, labels: [] }, gone: ['a@1'] })
+  expect(leader.proposed.map(({ kind }) => kind)).toEqual([StepTransactionKind.AnnounceIncarnation])
+})
+
+test('an incarnation that its own report lists as gone is not registered again', async () => {
+  await leader.report({ gone: ['a@1'] })
+  expect([...leader.world.state.steps.incarnations.keys()]).toEqual([])
+})
+
 test('a worker on which a run failed is suspect until a run is done there', async () => {
   leader.world.submit('j', [step({ tasks: 2 })])
   leader.world.start('j', 0, 0, ['a@1'])
