Ignore delayed reports of older incarnations

Read from the code; no play has shown it.

Cause: a network partition can hold up a report until after those of the agent's next stream. The leader handled data of a stream that another one had replaced, and took whatever incarnation came last as the present one: a delayed report of an earlier worker on the host ended the later one as lost, and the next current report announced that again with nothing in use, while its runs went on.

Change: a replaced stream is no longer read. Reports give the start of the incarnation, which the log keeps; a report of an incarnation older than the registered one of its host is ignored.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -222,12 +222,12 @@
     const { host } = this.options
     const gone = [...this.endedIncarnations].slice(-8)
     if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
-    const { worker, incarnation, service, dataCentre, rack, labels, processors, memoryMegabytes, accelerators } = current.heartbeat
+    const { worker, incarnation, startedAt, service, dataCentre, rack, labels, processors, memoryMegabytes, accelerators } = current.heartbeat
     const runs = [...current.table.runs.values()].filter(({ phase }) => phase !== RunPhase.NotStarted)
     return WorkerReport.fromPartial({
       host,
       sequence: this.sequence,
-      life: { worker, incarnation, service, dataCentre, rack, labels: [...labels], processors, memoryMegabytes, accelerators, leaving: current.leaving },
+      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], processors, memoryMegabytes, accelerators, leaving: current.leaving },
       clock: current.clock,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
       ends: endsToReport(current.table),
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -71,6 +71,8 @@
 /** The leader's end of all streams of supervising agents. */
 export class Supervisors {
   private readonly byCall = new Map<SupervisorCall, Supervisor>()
+  /** Streams that another one of the same agent has replaced. */
+  private readonly replacedCalls = new WeakSet<SupervisorCall>()
   private readonly byHost = new Map<string, Supervisor>()
   private readonly byIncarnation = new Map<string, Supervisor>()
   /** Monotonic milliseconds, by incarnation. */
@@ -205,6 +207,8 @@
   }
 
   private handleReport (call: SupervisorCall, report: wire.WorkerReport): void {
+    if (this.replacedCalls.has(call)) return
+    if (this.isOutdated(report)) { this.context.log('report-outdated', { host: report.host, incarnation: report.life?.incarnation }); call.end(); return }
     const supervisor = this.register(call, report)
     const { life } = report
     for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation)
@@ -221,7 +225,7 @@
     let supervisor = this.byCall.get(call)
     if (supervisor === undefined) {
       const previous = this.byHost.get(host)
-      if (previous !== undefined) { this.removeStream(previous.call); previous.call.end() }
+      if (previous !== undefined) { this.removeStream(previous.call); this.replacedCalls.add(previous.call); previous.call.end() }
       supervisor = { call, host, incarnation: '' }
       this.byCall.set(call, supervisor)
       this.byHost.set(host, supervisor)
@@ -248,19 +252,25 @@
     const recorded = this.context.head().steps.incarnations.get(life.incarnation)
     const { leaving, ...description } = life
     if (this.startsToRevoke(report).length === 0) {
-      for (const other of this.predecessors(host, life)) this.submitLoss(other.incarnation)
+      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation)
       if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
     }
     if (leaving && recorded?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveIncarnation, at: this.context.now(), incarnation: life.incarnation })
   }
 
-  private predecessors (host: string, { incarnation }: wire.WorkerLife): WorkerIncarnation[] {
+  /** Whether a later incarnation on the host is registered: a network partition can hold up a report until after those of later streams. */
+  private isOutdated ({ host, life }: wire.WorkerReport): boolean {
+    if (life === undefined || life.startedAt === 0) return false
+    return this.otherIncarnations(host, life).some(({ startedAt }) => (startedAt ?? 0) > life.startedAt)
+  }
+
+  private otherIncarnations (host: string, { incarnation }: wire.WorkerLife): WorkerIncarnation[] {
     return [...this.context.head().steps.incarnations.values()].filter((other) => other.host === host && other.incarnation !== incarnation)
   }
 
   /** Whether the report is of a later incarnation of the same worker; the earlier one is then lost once its starts are revoked. */
   private isSucceededBy (incarnation: string, { host, life }: wire.WorkerReport): boolean {
-    return life !== undefined && this.predecessors(host, life).some((other) => other.incarnation === incarnation && other.worker === life.worker)
+    return life !== undefined && this.otherIncarnations(host, life).some((other) => other.incarnation === incarnation && other.worker === life.worker)
   }
 
   /**
@@ -270,7 +280,7 @@
   private startsToRevoke ({ host, life, ends }: wire.WorkerReport): RunKey[] {
     if (life === undefined) return []
     const settled = new Set(ends.flatMap(({ key }) => key === undefined ? [] : [runName(key)]))
-    return this.predecessors(host, life)
+    return this.otherIncarnations(host, life)
       .filter(({ worker }) => worker === life.worker)
       .flatMap(({ runs }) => [...runs.values()])
       .filter((key) => !settled.has(runName(key)))
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -127,6 +127,8 @@
   readonly dataCentre: string
   readonly rack: string
   readonly labels: readonly string[]
+  /** Start of the incarnation, in milliseconds since the epoch; absent or 0 where it is not known. */
+  readonly startedAt?: number
 }
 
 /** One incarnation of a worker in the replicated state. */
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -175,6 +175,28 @@
   expect([...leader.world.state.steps.incarnations.keys()]).toEqual([])
 })
 
+test.each([['of the same worker', 'a'], ['of another worker', 'b']])('a delayed report of an older incarnation does not end its successor (%s), on a replaced stream or on one of its own', async (_case, name) => {
+  const replaced = leader.call
+  const { host, ...first } = worker('a', { startedAt: 1 })
+  const { host: _, ...second } = worker(name, { incarnation: 'second@2', startedAt: 2 })
+  await leader.report({ host, life: { ...first, labels: [] } })
+  leader.call = leader.attach()
+  await leader.report({ host, life: { ...second, labels: [] } })
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['second@2'])
+  leader.proposed.length = 0
+  for (const call of [replaced, leader.attach()]) {
+    const orders = leader.orders.length
+    leader.call = call
+    await leader.report({ host, life: { ...first, labels: [] } })
+    expect(leader.orders.slice(orders)).toEqual([])
+  }
+  expect(leader.proposed).toEqual([])
+  leader.call = leader.attach()
+  const key = { job: 'j', step: 0, task: 0, attempt: 1 }
+  expect(await leader.report({ host, life: { ...second, labels: [] } })).toMatchObject({ incarnation: 'second@2', starts: [{ key }] })
+})
+
 test('a worker on which a run failed is suspect until a run is done there', async () => {
   leader.world.submit('j', [step({ tasks: 2 })])
   leader.world.start('j', 0, 0, ['a@1'])
