Give no lease and no starts to a worker whose loss is being committed

Cause: decisions use the head state, orders the committed one. A worker that returns from a partition about one lease after its last report can be recorded as lost in the head while its report waits for the confirmation of leadership (up to 43 ms), or a few milliseconds before the report comes. The answer then still granted a lease and sent the starts of the old registration, which had been assigned during the partition and never delivered. The head had already registered the worker again with nothing in use, and started the same task there or elsewhere under the next attempt: two attempts at once, or one more task than fits.

Change: a registration has the time of its log entry. An incarnation gets a lease and starts only while the committed registration is also that of the head.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -358,8 +358,7 @@
   private answer ({ supervisor, sequence, incarnation, clock, receivedAt }: PendingReport): void {
     if (this.byCall.get(supervisor.call) !== supervisor) return
     const { leaseMilliseconds } = this.context
-    const isRecorded = this.context.committed().steps.incarnations.has(incarnation)
-    const leaseUntil = isRecorded && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
+    const leaseUntil = this.commandedIncarnation(incarnation) !== undefined && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
     if (leaseUntil > 0) this.leaseExpiresAt.set(incarnation, Math.max(this.leaseExpiresAt.get(incarnation) ?? 0, receivedAt + this.maxLeaseMilliseconds))
     this.sendOrders(supervisor, { sequence, leaseUntil }, this.listedRuns(incarnation))
   }
@@ -375,6 +374,7 @@
   private sendOrders (supervisor: Supervisor, { sequence, leaseUntil }: Pick<wire.WorkerOrders, 'sequence' | 'leaseUntil'>, listed: ReadonlySet<string>): void {
     const { steps } = this.context.committed()
     const life = steps.incarnations.get(supervisor.incarnation)
+    const commanded = this.commandedIncarnation(supervisor.incarnation)
     const report = this.lastReports.get(supervisor)
     const orders = wire.WorkerOrders.fromPartial({
       term: this.context.term(),
@@ -382,13 +382,23 @@
       incarnation: supervisor.incarnation,
       leaseUntil,
       acknowledged: life?.acknowledged ?? 0,
-      starts: life === undefined ? [] : this.startOrders(life, listed),
+      starts: commanded === undefined ? [] : this.startOrders(commanded, listed),
       stops: this.runsToStop(life, report),
       controlHosts: [...this.context.controlHosts()]
     })
     supervisor.call.write(orders)
   }
 
+  /**
+   * The committed incarnation, unless its loss has been proposed since: its runs are then already started elsewhere, so that
+   * it gets neither a lease nor starts until it is registered again.
+   */
+  private commandedIncarnation (incarnation: string): WorkerIncarnation | undefined {
+    const committed = this.context.committed().steps.incarnations.get(incarnation)
+    const head = this.context.head().steps.incarnations.get(incarnation)
+    return head !== undefined && head.registeredAt === committed?.registeredAt ? committed : undefined
+  }
+
   private startOrders (life: WorkerIncarnation, listed: ReadonlySet<string>): wire.StartOrder[] {
     const { jobs } = this.context.committed().steps
     return [...life.runs].flatMap(([name, key]): wire.StartOrder[] => {
--- a/src/core/steps/incarnations.ts
+++ b/src/core/steps/incarnations.ts
@@ -19,7 +19,7 @@
 export function announceIncarnation (draft: Draft, transaction: AnnounceIncarnation): Outcome {
   const { life } = transaction
   if (draft.steps.incarnations.has(life.incarnation)) return ok(undefined)
-  setIncarnation(draft, { ...life, leaving: false, acknowledged: 0, runs: ImmutableMap(), used: noResources })
+  setIncarnation(draft, { ...life, registeredAt: draft.at, leaving: false, acknowledged: 0, runs: ImmutableMap(), used: noResources })
   draft.recordEvent({ kind: StepTransactionKind.AnnounceIncarnation, workers: [life.worker] })
   return ok(undefined)
 }
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -133,6 +133,8 @@
 
 /** One incarnation of a worker in the replicated state. */
 export interface WorkerIncarnation extends IncarnationDescription {
+  /** Time of its registration, in milliseconds since the epoch; absent in older snapshots. An incarnation that is lost and returns is registered again. */
+  readonly registeredAt?: number
   /** Gets no new work. */
   readonly leaving: boolean
   /** Number of the last run end that has been recorded. */
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -1,15 +1,16 @@
 import { EventEmitter } from 'node:events'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { Supervisors, type SupervisorCall } from '../src/control/supervisors'
-import { RunOutcome, StepTransactionKind, type StepTransaction, type Transaction } from '../src/core/index'
+import { RunOutcome, StepTransactionKind, type State, type StepTransaction, type Transaction } from '../src/core/index'
 import { WorkerReport, type WorkerOrders } from '../src/wire'
 import { step, StepWorld, worker } from './steps-fixture'
 
 const LEASE = 4_000
 
-/** The leader's end with one stream, on a state that applies submitted transactions at once. */
+/** The leader's end with one stream, on a state that applies submitted transactions at once, and commits them at once unless that is held. */
 class LeaderFixture {
   readonly world = StepWorld.create([worker('a')])
+  private heldCommitted?: State
   readonly proposed: StepTransaction[] = []
   readonly orders: WorkerOrders[] = []
   readonly logged: object[] = []
@@ -18,7 +19,7 @@
   holdConfirmations = false
   readonly supervisors = Supervisors.create({
     head: () => this.world.state,
-    committed: () => this.world.state,
+    committed: () => this.heldCommitted ?? this.world.state,
     term: () => 3,
     now: () => Date.now(),
     submit: async (transaction: Transaction) => {
@@ -36,6 +37,10 @@
 
   call = this.attach()
 
+  /** Keeps the committed state while further transactions are proposed. */
+  holdCommits (): void { this.heldCommitted = this.world.state }
+  commit (): void { this.heldCommitted = undefined }
+
   attach (): SupervisorCall {
     const call = Object.assign(new EventEmitter(), { write: (orders: WorkerOrders) => { this.orders.push(orders); return true }, end: () => {} }) as unknown as SupervisorCall
     this.supervisors.attach(call)
@@ -108,6 +113,36 @@
   expect((await leader.report({ runs: [{ key, running: true }] }))?.stops).toEqual([key])
 })
 
+test('a worker whose lease expires while its report is answered gets neither a lease nor starts of the runs that are lost with it', async () => {
+  await leader.report()
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  await vi.advanceTimersByTimeAsync(LEASE * 1.2)
+  leader.holdConfirmations = true
+  leader.holdCommits()
+  await leader.report({ sequence: 2 })
+  leader.world.applyAll(leader.supervisors.expiredLeases())
+  leader.confirmations.shift()?.()
+  await vi.advanceTimersByTimeAsync(0)
+  expect(leader.orders.at(-1)).toMatchObject({ sequence: 2, leaseUntil: 0, starts: [] })
+})
+
+test('a worker that returns while its loss is being committed gets neither a lease nor starts before it is registered again', async () => {
+  await leader.report()
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  await vi.advanceTimersByTimeAsync(LEASE * 1.2)
+  leader.holdCommits()
+  leader.world.applyAll(leader.supervisors.expiredLeases())
+  expect(await leader.report({ sequence: 2 })).toMatchObject({ sequence: 2, leaseUntil: 0, starts: [] })
+  expect(leader.proposed.map(({ kind }) => kind)).toEqual([StepTransactionKind.AnnounceIncarnation])
+  leader.world.start('j', 0, 0, ['a@1'])
+  expect(await leader.report({ sequence: 3 })).toMatchObject({ sequence: 3, leaseUntil: 0, starts: [] })
+  leader.commit()
+  const orders = await leader.report({ sequence: 4, clock: 9_000 })
+  expect(orders).toMatchObject({ sequence: 4, leaseUntil: 9_000 + LEASE, starts: [{ key: { job: 'j', attempt: 2 } }] })
+})
+
 test('runs that a worker runs although the log does not assign them are logged once and counted until they are gone', async () => {
   const key = { job: 'j', step: 0, task: 0, attempt: 1 }
   await leader.report({ runs: [{ key, running: true }] })
