--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -32,6 +32,8 @@
   readonly hosts: KnownHosts
   readonly worker: WorkerApi
   readonly credentials?: ChannelCredentials
+  /** How the stream to the leader is opened; over gRPC if not given. */
+  readonly protocol?: StreamProtocol<WorkerReport, WorkerOrders>
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void
 }
 
@@ -92,7 +94,7 @@
   private ended = false
 
   private constructor (private readonly options: SupervisorOptions) {
-    this.stream = ControlStream.create(options.hosts, superviseProtocol, {
+    this.stream = ControlStream.create(options.hosts, options.protocol ?? superviseProtocol, {
       opened: () => { this.report() },
       received: (orders) => { this.handleOrders(orders) },
       closed: () => { options.log('control-lost', { term: this.term }) }
