--- /dev/null
+++ b/test/supervision-scenarios.test.ts
@@ -0,0 +1,244 @@
+/** Scripted faults of the supervision: each test names the events after which a worker must not be overloaded, or a task run twice. */
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { normalFate, Simulation, type Fate, type Site, type WorkerCall } from './supervision-simulation'
+import type { JobPlan } from './supervision-worker'
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['performance', 'Date', 'setTimeout', 'setInterval', 'setImmediate', 'clearTimeout', 'clearInterval', 'clearImmediate'] })
+  vi.setSystemTime(1_000_000)
+})
+
+afterEach(() => { vi.useRealTimers(); vi.restoreAllMocks() })
+
+/** A task that takes a whole worker. */
+const wholeWorker: JobPlan = { tasks: 1, gang: false, accelerators: 8, milliseconds: 4_000 }
+const unanswered: Fate = { after: 1, unanswered: true }
+const lost: Fate = { unanswered: true }
+
+/** The given fates befall the next starts; then starts are executed at once again. */
+function nextStarts (site: Site, fates: readonly Fate[], other: (call: WorkerCall) => Fate = () => normalFate): void {
+  const next = [...fates]
+  site.fate = (call) => call.kind === 'start' ? next.shift() ?? normalFate : other(call)
+}
+
+const running = (simulation: Simulation, name: string, run: string): boolean => simulation.site(name).machine.runs.has(run)
+
+/** Restarts a worker at once. */
+function restartWorker ({ machine }: Site, sameName = true): void {
+  machine.crash()
+  machine.boot(sameName)
+}
+
+test('without faults, a full fleet works through its jobs without a violation', async () => {
+  const simulation = await Simulation.create()
+  for (let number = 0; number < 12; number++) {
+    simulation.submitJob(`j${number}`, number % 2 === 0 ? { tasks: 2, gang: true, accelerators: 8, milliseconds: 1_500 } : { tasks: 3, gang: false, accelerators: 3, milliseconds: 700, fails: number % 3 === 0 })
+  }
+  await simulation.until('all jobs end', () => simulation.state.steps.open.size === 0, 40_000)
+  expect(simulation.report).toBe('')
+})
+
+test('an agent that restarted does not take an unhealthy worker\'s refusal as proof that a run of its predecessor never started', async () => {
+  const simulation = await Simulation.create()
+  const site = simulation.site('a')
+  simulation.submitJob('x', wholeWorker)
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  site.killAgent()
+  site.machine.unhealthy = true
+  site.fate = ({ kind }) => kind === 'poll' ? lost : normalFate
+  site.startAgent()
+  await simulation.run(2_500)
+  expect(simulation.report).toBe('')
+})
+
+test('an agent that restarted does not take it that a worker is leaving as proof that a run of its predecessor never started', async () => {
+  const simulation = await Simulation.create()
+  const site = simulation.site('a')
+  simulation.submitJob('x', wholeWorker)
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  site.killAgent()
+  site.machine.leave(2_000)
+  site.fate = ({ kind }) => kind === 'poll' ? { after: 200 } : normalFate
+  site.startAgent()
+  await simulation.run(2_500)
+  expect(simulation.report).toBe('')
+})
+
+test('an agent that restarted does not take a refusal as proof that a late start of its predecessor never arrives', async () => {
+  const simulation = await Simulation.create()
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 2_500, unanswered: true }])
+  simulation.submitJob('x', wholeWorker)
+  await simulation.run(100)
+  site.killAgent()
+  site.machine.unhealthy = true
+  site.startAgent()
+  await simulation.run(4_000)
+  expect(simulation.report).toBe('')
+})
+
+test('an incarnation is not announced again while the starts of its predecessor are being revoked', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [lost, lost, lost], ({ kind }) => kind === 'stop' ? lost : normalFate)
+  simulation.submitJob('x', wholeWorker)
+  await simulation.run(450)
+  restartWorker(site)
+  await simulation.run(6_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a start that is on its way when the worker restarts under its name does not overload it', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 300 }])
+  simulation.submitJob('x', wholeWorker)
+  await simulation.run(60)
+  restartWorker(site)
+  await simulation.run(3_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a start that was sent again, of which the first copy arrives after the worker restarted under its name, does not overload it', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 2_500, unanswered: true }])
+  simulation.submitJob('x', wholeWorker)
+  await simulation.until('the second copy starts the run', () => running(simulation, 'a', 'x.0.0.1'))
+  restartWorker(site)
+  await simulation.run(4_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a start whose run was settled as not started, and which arrives after the worker restarted under its name, does not overload it', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 3_000, unanswered: true }])
+  simulation.submitJob('x', wholeWorker)
+  await simulation.run(50)
+  site.machine.unhealthy = true
+  await simulation.run(1_000)
+  restartWorker(site)
+  await simulation.run(4_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a late start of an agent that ended, which arrives after the worker restarted under its name, does not overload it', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 2_500, unanswered: true }])
+  simulation.submitJob('x', wholeWorker)
+  await simulation.run(50)
+  site.killAgent()
+  restartWorker(site)
+  site.startAgent()
+  await simulation.run(4_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a start for an incarnation whose worker restarted under its name unnoticed does not overload it', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  site.heartbeatDelay = 400
+  restartWorker(site)
+  simulation.submitJob('x', wholeWorker)
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  site.heartbeatDelay = 1
+  await simulation.run(3_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a report of an earlier incarnation that was held up on an older stream does not free the capacity of the current one', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  site.cut()
+  await simulation.run(700)
+  restartWorker(site, false)
+  await simulation.run(1_500)
+  simulation.submitJob('x', wholeWorker)
+  site.heal((position) => position === 0 ? 700 : 0)
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'), 690)
+  await simulation.run(3_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a report without a worker that was held up on the stream of an ended agent does not free the capacity of the current incarnation', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  site.cut()
+  await simulation.run(700)
+  site.killAgent()
+  restartWorker(site)
+  site.startAgent()
+  await simulation.run(1_500)
+  simulation.submitJob('x', wholeWorker)
+  site.heal((position) => position === 0 ? 700 : 0)
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'), 690)
+  await simulation.run(3_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a task does not start elsewhere while its run still ends after the lease has expired', async () => {
+  const simulation = await Simulation.create({ times: { stop: 900, lapse: 900 } })
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 12_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  simulation.site('a').cut()
+  await simulation.run(8_000)
+  expect(simulation.report).toBe('')
+})
+
+test('an incarnation that is announced again after its lease has expired is not overloaded by what still ends there', async () => {
+  const simulation = await Simulation.create({ sites: ['a'], times: { stop: 900, lapse: 900 } })
+  const site = simulation.site('a')
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 12_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  site.cut()
+  await simulation.until('the incarnation is lost', () => simulation.state.steps.incarnations.size === 0)
+  site.heal()
+  await simulation.run(2_000)
+  expect(simulation.report).toBe('')
+})
+
+test('an incarnation that is announced again after its lease has expired is not overloaded where its runs ended with the lease', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 12_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  site.cut()
+  await simulation.until('the incarnation is lost', () => simulation.state.steps.incarnations.size === 0)
+  site.heal()
+  await simulation.run(5_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a late poll that acknowledges ends of an earlier incarnation does not make a worker forget ends that are not recorded', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  const short = { ...wholeWorker, milliseconds: 300 }
+  simulation.submitJob('u', short)
+  simulation.submitJob('v', short)
+  await simulation.until('both jobs end', () => simulation.state.steps.open.size === 0)
+  await simulation.run(300)
+  site.fate = ({ kind }) => kind === 'poll' ? { after: 1_600, unanswered: true } : normalFate
+  simulation.submitJob('w', { ...wholeWorker, milliseconds: 20_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'w.0.0.1'))
+  simulation.cancelJob('w')
+  await simulation.run(200)
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 400 })
+  restartWorker(site)
+  await simulation.run(1_700)
+  site.fate = () => normalFate
+  await simulation.run(5_000)
+  expect(simulation.report).toBe('')
+})
+
+test('a leader that was superseded and goes on for a while does not overload a worker', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  for (const job of ['x', 'y', 'z']) simulation.submitJob(job, { ...wholeWorker, milliseconds: 1_000 })
+  await simulation.until('a run starts', () => simulation.site('a').machine.runs.size > 0)
+  simulation.changeLeader(1, 4_000)
+  await simulation.run(3_000)
+  simulation.changeLeader(2, 500, 800)
+  await simulation.run(6_000)
+  expect(simulation.report).toBe('')
+})
--- a/test/supervision-schedule.ts
+++ b/test/supervision-schedule.ts
@@ -1,5 +1,5 @@
 /** Seeded schedules of faults for the simulation of the supervision: bursts of faults, mostly on one host, on a full fleet. */
-import { Simulation, type Fate, type Site, type WorkerCall } from './supervision-simulation'
+import { normalFate, Simulation, type Fate, type Site, type WorkerCall } from './supervision-simulation'
 import type { Dice } from './supervision-worker'
 
 const SCHEDULE_MILLISECONDS = 22_000
@@ -20,13 +20,19 @@
   return { after: dice.number(1, 300) }
 }
 
-const calmFate: Fate = { after: 1 }
+/** Which of the platform's liberties a schedule takes. */
+export interface ScheduleOptions {
+  /** Older connections may resume after newer ones when a cut ends. */
+  readonly reorders?: boolean
+  /** Runs take the time of a stop to end when their lease expires. */
+  readonly slowLapse?: boolean
+}
 
-type Fault = (simulation: Simulation, site: Site) => void
+type Fault = (simulation: Simulation, site: Site, options: ScheduleOptions) => void
 
 const troubleCalls: Fault = ({ dice }, site) => {
   site.fate = (call) => troubledFate(dice, call)
-  later(dice.number(200, 2_500), () => { site.fate = () => calmFate })
+  later(dice.number(200, 2_500), () => { site.fate = () => normalFate })
 }
 
 const restartAgent: Fault = ({ dice }, site) => {
@@ -52,10 +58,10 @@
   later(dice.number(200, 2_000), () => { machine.unhealthy = false })
 }
 
-const cut: Fault = ({ dice }, site) => {
+const cut: Fault = ({ dice }, site, { reorders }) => {
   if (site.link.cut) return
   site.cut()
-  later(dice.chance(50) ? dice.number(200, 3_000) : dice.number(6_000, 9_000), () => { site.heal(() => dice.number(0, 900)) })
+  later(dice.chance(50) ? dice.number(200, 3_000) : dice.number(6_000, 9_000), () => { site.heal(() => reorders === false ? 0 : dice.number(0, 900)) })
 }
 
 const freeze: Fault = ({ dice }, site) => {
@@ -78,14 +84,14 @@
 ]
 
 /** A few faults close together, most of them on one host. */
-function burst (simulation: Simulation): void {
+function burst (simulation: Simulation, options: ScheduleOptions): void {
   const { dice, sites } = simulation
   const site = dice.pick(sites)
   let delay = 0
   for (let count = dice.number(2, 6); count > 0; count--) {
     const fault = dice.pick(faults)
     const target = dice.chance(85) ? site : dice.pick(sites)
-    later(delay, () => { fault(simulation, target) })
+    later(delay, () => { fault(simulation, target, options) })
     delay += dice.number(10, 700)
   }
 }
@@ -108,11 +114,11 @@
 /**
  * Runs one schedule, up to its first violation.
  * @param seed - determines the schedule
- * @param endsAtOnce - runs end at once when their lease expires, rather than within the time of a stop
+ * @param options - see {@link ScheduleOptions}
  */
-export async function runSchedule (seed: number, endsAtOnce = true): Promise<Simulation> {
+export async function runSchedule (seed: number, options: ScheduleOptions = {}): Promise<Simulation> {
   const stop = [200, 400, 900][seed % 3]!
-  const simulation = await Simulation.create({ seed, sites: ['a', 'b', 'c'], times: { stop, lapse: endsAtOnce ? 0 : stop } })
+  const simulation = await Simulation.create({ seed, sites: ['a', 'b', 'c'], times: { stop, lapse: options.slowLapse === true ? stop : 0 } })
   const { dice, platform } = simulation
   let submitted = 0
   const load = (): void => {
@@ -123,7 +129,7 @@
   const endsAt = performance.now() + SCHEDULE_MILLISECONDS
   const nextBurst = (): void => {
     if (performance.now() > endsAt - QUIET_MILLISECONDS) return
-    burst(simulation)
+    burst(simulation, options)
     later(dice.number(1_500, 5_000), nextBurst)
   }
   later(dice.number(500, 2_000), nextBurst)
--- a/test/supervision-simulation.ts
+++ b/test/supervision-simulation.ts
@@ -29,7 +29,8 @@
   readonly unanswered?: boolean
 }
 
-const normalFate: Fate = { after: 1 }
+/** The call is executed and answered at once. */
+export const normalFate: Fate = { after: 1 }
 
 /** A call to a worker. */
 export interface WorkerCall { readonly kind: 'start' | 'stop' | 'poll', readonly key?: RunKey, readonly process: number }
@@ -181,7 +182,7 @@
       const fate = this.site.fate(call)
       const settle = (answer: Answer | OrderOutcome): void => { this.whenAwake(() => { resolve(answer) }) }
       after(waitMilliseconds + RESPONSE_TIMEOUT_MILLISECONDS, () => { settle(OrderOutcome.Unknown) })
-      if (fate.unanswered === true || fate !== normalFate) this.simulation.platform.trace.add(`agent ${this.site.name}.${this.number}: ${call.kind} ${call.key === undefined ? '' : runName(call.key)} ${fate.after === undefined ? 'is lost' : `arrives after ${fate.after} ms`}${fate.unanswered === true ? ', unanswered' : ''}`, [this.site.name, ...call.key === undefined ? [] : [call.key.job]])
+      if (fate !== normalFate) this.simulation.platform.trace.add(`agent ${this.site.name}.${this.number}: ${call.kind} ${call.key === undefined ? '' : runName(call.key)} ${fate.after === undefined ? 'is lost' : `arrives after ${fate.after} ms`}${fate.unanswered === true ? ', unanswered' : ''}`, [this.site.name, ...call.key === undefined ? [] : [call.key.job]])
       if (fate.after === undefined) return
       after(fate.after, () => {
         void Promise.resolve(execute()).then((answer) => {
@@ -369,6 +370,8 @@
 
   /** Starts a leader, and all agents with their workers. */
   static async create (options: SimulationOptions = {}): Promise<Simulation> {
+    const delays = new Dice(options.seed ?? 1)
+    vi.spyOn(Math, 'random').mockImplementation(() => delays.number(0, 999) / 1_000)
     const simulation = new Simulation(options)
     simulation.elect(0)
     void simulation.submit({ kind: StepTransactionKind.ReplaceDocument, at: Date.now(), number: 1, documentJson: JSON.stringify(queueDocument), source: 'source' })
--- a/test/supervision-worker.ts
+++ b/test/supervision-worker.ts
@@ -335,7 +335,7 @@
     const { dice, times } = this.platform
     if (life.runs.size > 0) this.platform.trace.add(`worker ${this.incarnation}: the lease expires`, [this.host])
     for (const { done } of life.ends) if (done !== undefined) done.lapsed = true
-    for (const run of [...life.runs.values()]) this.endSoon(life, run, RunOutcome.LeaseExpired, dice.number(0, times.lapse))
+    for (const run of [...life.runs.values()]) this.endSoon(life, run, RunOutcome.LeaseExpired, dice.number(Math.ceil(times.lapse * 3 / 4), times.lapse))
   }
 
   private listRuns (life: Life): ListedRun[] {
