Count a worker as lost only after it has had the time of a stop to end its runs

Cause: the leader waited for the longest lease, the drift of the clock, and 300 ms.

Change: setting workerStopMilliseconds, rendered from the deployment's bounds, is added to the time.

--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -75,10 +75,10 @@
   }
 }
 
-function deploymentOptions ({ deployment }: Settings): Pick<ControlOptions, 'founding' | 'wantedVoters' | 'workerLeaseMilliseconds' | 'maxRecordBytes'> {
+function deploymentOptions ({ deployment }: Settings): Pick<ControlOptions, 'founding' | 'wantedVoters' | 'workerLeaseMilliseconds' | 'workerStopMilliseconds' | 'maxRecordBytes'> {
   if (deployment === undefined) return {}
-  const { founding, hostsLostAtOnce, workerLeaseMilliseconds } = deployment
-  return { founding, wantedVoters: 2 * hostsLostAtOnce + 1, workerLeaseMilliseconds, maxRecordBytes: maxRecordBytesOf(deployment) }
+  const { founding, hostsLostAtOnce, workerLeaseMilliseconds, workerStopMilliseconds } = deployment
+  return { founding, wantedVoters: 2 * hostsLostAtOnce + 1, workerLeaseMilliseconds, workerStopMilliseconds, maxRecordBytes: maxRecordBytesOf(deployment) }
 }
 
 /**
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -40,6 +40,8 @@
   readonly wantedVoters?: number
   /** Length of a supervised worker's lease, in milliseconds. */
   readonly workerLeaseMilliseconds?: number
+  /** Longest time that a supervised worker takes to end a run, in milliseconds. */
+  readonly workerStopMilliseconds?: number
   /** Maximum size of the audit record; the oldest segments beyond it are removed. */
   readonly maxRecordBytes?: number
   /** Called when the data folder fails: the host can no longer guarantee durability, and the process should exit. */
@@ -48,6 +50,7 @@
 }
 
 const DEFAULT_WORKER_LEASE_MILLISECONDS = 6_000
+const DEFAULT_WORKER_STOP_MILLISECONDS = 1_000
 /** Interval of checks for expired leases and overdue reservations, in milliseconds. */
 const TICK_INTERVAL_MILLISECONDS = 50
 /** Interval of log entries that remove ended jobs past their retention, in milliseconds. */
@@ -150,7 +153,8 @@
       ...shared,
       confirm: () => this.confirm(),
       controlHosts: () => this.controlHosts(),
-      leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS
+      leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS,
+      stopMilliseconds: options.workerStopMilliseconds ?? DEFAULT_WORKER_STOP_MILLISECONDS
     })
     this.decisionLog = DecisionLog.create({ supervisors: this.supervisors, metrics: this.metrics, ...shared })
     this.followers = ConfigurationFollowers.create(shared.committed, shared.term, () => this.controlHosts())
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -20,7 +20,7 @@
 const SILENT_AFTER_MILLISECONDS = 1_100
 /** Factor by which a worker's clock may run slower than this host's: the platform's stated bound, with a margin for this host's own clock. */
 const CLOCK_DRIFT_FACTOR = 1.025
-/** Time after the end of a lease at which its worker counts as lost, in milliseconds: the worker needs it to end its tasks. */
+/** Time after the end of a lease and of the runs under it at which the worker counts as lost, in milliseconds. */
 const LEASE_MARGIN_MILLISECONDS = 300
 /** Time after which a new leader has a report of every agent that can reach it, in milliseconds: three report intervals. */
 const REPORTS_COMPLETE_AFTER_MILLISECONDS = 1_600
@@ -46,6 +46,8 @@
   readonly controlHosts: () => readonly string[]
   /** Length of a lease, in milliseconds of the worker's clock, from the reading in the report for which it is granted. */
   readonly leaseMilliseconds: number
+  /** Longest time that a worker takes to end its runs once their lease has expired, in milliseconds. */
+  readonly stopMilliseconds: number
   readonly log: (event: string, fields: object) => void
 }
 
@@ -193,7 +195,8 @@
 
   /** Longest time from the receipt of a report until nothing runs under the lease it was granted. */
   private get maxLeaseMilliseconds (): number {
-    return this.context.leaseMilliseconds * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MILLISECONDS
+    const { leaseMilliseconds, stopMilliseconds } = this.context
+    return leaseMilliseconds * CLOCK_DRIFT_FACTOR + stopMilliseconds + LEASE_MARGIN_MILLISECONDS
   }
 
   private silentIncarnations (): ReadonlySet<string> {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -87,6 +87,7 @@
   folderMegabytes: Type.Integer({ minimum: 0, default: 0, description: 'size of the disk; 0 if unknown' }),
   hostsLostAtOnce: Type.Integer({ minimum: 0, maximum: 3, default: 1, description: 'number of control hosts that may fail at the same time' }),
   workerLeaseMilliseconds: Type.Integer({ minimum: 500, maximum: 600_000, default: 6_000, description: 'maximum lease that a worker grants to its runs' }),
+  workerStopMilliseconds: Type.Integer({ minimum: 0, maximum: 60_000, default: 1_000, description: 'longest time that a worker takes to end a run' }),
   stopDeadlineSeconds,
   clients: Type.Optional(address),
   readiness: Type.Optional(address),
--- a/test/supervision-simulation.ts
+++ b/test/supervision-simulation.ts
@@ -285,6 +285,7 @@
       confirm: async () => await this.confirm(),
       controlHosts: () => simulation.addresses,
       leaseMilliseconds: LEASE_MILLISECONDS,
+      stopMilliseconds: simulation.platform.times.stop,
       log: (event, fields) => {
         const incarnation = (fields as { incarnation?: string }).incarnation ?? (fields as { host?: string }).host?.slice('host-'.length) ?? ''
         trace.add(`leader ${address} of term ${this.term}: ${event} ${JSON.stringify(fields)}`, [incarnation.charAt(0)])
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -32,6 +32,7 @@
     },
     controlHosts: () => ['127.0.0.1:1'],
     leaseMilliseconds: LEASE,
+    stopMilliseconds: 50,
     log: (event, fields) => { this.logged.push({ event, ...fields }) }
   })
 
