Follow a worker's capacity while it runs: decide and send starts by the newest one

Callers saw: a worker whose capacity had shrunk was given work beyond it, and one whose capacity had grown was used only up to its first capacity. Cause: the agent reported the capacity of the first heartbeat of an incarnation for as long as that ran, and the log left a registered incarnation unchanged. Change: the agent reports the capacity of the heartbeat with the highest sequence number, at once when it differs. The leader proposes resize-incarnation, a log entry of its own: a repeated announcement stays without effect, so logs replay as before. Runs and what they occupy stay; nothing starts where they occupy more than the capacity, and a reclaim counts what is held too much. Orders state what all assigned runs occupy (used); the agent does not send a start while that exceeds the newest capacity, and settles one that was sent unanswered by a stop and the lists. Such a start does not make the worker suspect. Heartbeats that come while an unanswered start is revoked at a new incarnation are handled afterwards instead of dropped. Log line worker-capacity-changed; audit line with both capacities.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -4,6 +4,8 @@
  */
 import type { ChannelCredentials } from '@grpc/grpc-js'
 import type { KnownHosts } from '../client/known-hosts'
+import type { Resources } from '../core/steps/model'
+import { fitsInto, resourcesOf, sameResources } from '../core/steps/resources'
 import { runName, type RunKey } from '../core/steps/run'
 import { WorkerReport, type StartOrder, type WorkerOrders } from '../wire'
 import { acknowledge, addRun, applyRunLists, emptyRunTable, endsToReport, removeRun, RunPhase, updateRun, type RunTable, type TrackedRun } from './run-table'
@@ -46,6 +48,12 @@
 interface TrackedIncarnation {
   /** The first heartbeat of the incarnation. */
   readonly heartbeat: WorkerHeartbeat
+  /** Capacity in the newest heartbeat. */
+  capacity: Resources
+  /** Sequence number of the newest heartbeat. */
+  heartbeatSequence: number
+  /** What all runs that control has assigned to the worker occupy; absent before the first orders. */
+  used?: Resources
   leaving: boolean
   /** Highest value seen of the worker's own clock, in milliseconds. */
   clock: number
@@ -136,12 +144,22 @@
     const { current } = this
     if (current === undefined || current.heartbeat.incarnation !== heartbeat.incarnation) { this.beginIncarnation(heartbeat); return }
     current.clock = Math.max(current.clock, heartbeat.clock)
+    this.updateCapacity(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
     this.options.log('worker-leaving', { incarnation: heartbeat.incarnation })
     this.report()
   }
 
+  /** A late heartbeat must not bring an older capacity back. */
+  private updateCapacity (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
+    if (heartbeat.sequence <= tracked.heartbeatSequence) return
+    tracked.heartbeatSequence = heartbeat.sequence
+    if (sameResources(tracked.capacity, heartbeat)) return
+    tracked.capacity = resourcesOf(heartbeat)
+    this.report()
+  }
+
   /**
    * Handles the deregistration of the worker, which ends its incarnation.
    * @param worker - the name of the worker
@@ -171,6 +189,8 @@
     const unanswered = this.recentUnansweredStarts()
     const next: TrackedIncarnation = {
       heartbeat,
+      capacity: resourcesOf(heartbeat),
+      heartbeatSequence: heartbeat.sequence,
       leaving: heartbeat.leaving,
       clock: heartbeat.clock,
       leaseUntil: 0,
@@ -224,12 +244,12 @@
     const { host } = this.options
     const gone = [...this.endedIncarnations].slice(-8)
     if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
-    const { worker, incarnation, startedAt, service, dataCentre, rack, labels, processors, memoryMegabytes, accelerators } = current.heartbeat
+    const { worker, incarnation, startedAt, service, dataCentre, rack, labels } = current.heartbeat
     const runs = [...current.table.runs.values()].filter(({ phase }) => phase !== RunPhase.NotStarted)
     return WorkerReport.fromPartial({
       host,
       sequence: this.sequence,
-      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], processors, memoryMegabytes, accelerators, leaving: current.leaving },
+      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving: current.leaving },
       clock: current.clock,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
       ends: endsToReport(current.table),
@@ -247,6 +267,7 @@
     const { current } = this
     if (current?.reportable !== true || orders.incarnation !== current.heartbeat.incarnation) return
     current.leaseUntil = Math.max(current.leaseUntil, orders.leaseUntil)
+    current.used = orders.used
     current.table = acknowledge(current.table, orders.acknowledged)
     for (const order of orders.starts) this.acceptStart(current, order)
     for (const key of orders.stops) this.acceptStop(current, key)
@@ -281,8 +302,12 @@
       const order = tracked.startOrders.get(name)
       if (order === undefined) return
       if (tracked.leaving) { this.handleRefusedStart(tracked, key); return }
-      if (tracked.leaseUntil === 0 || !await this.verify(tracked)) { await pause(RETRY_MILLISECONDS); continue }
-      if (this.current !== tracked || tracked.table.runs.get(name)?.phase !== RunPhase.Starting) return
+      if (isOverfull(tracked)) { this.handleRefusedStart(tracked, key, OrderRefusal.NoCapacity); return }
+      if (tracked.leaseUntil === 0) { await pause(RETRY_MILLISECONDS); continue }
+      if (!tracked.verified) {
+        if (!await this.verify(tracked)) await pause(RETRY_MILLISECONDS)
+        continue
+      }
       const { payload, checkpoint } = order
       const answer = await this.options.worker.start(this.context(tracked), { key, payload, checkpoint, leaseUntil: tracked.leaseUntil })
       if (answer.outcome === OrderOutcome.Unknown) this.recordUnansweredStart(tracked, key)
@@ -293,9 +318,8 @@
     }
   }
 
-  /** Returns whether the worker is still this incarnation, asking it if the last call was not answered. */
+  /** Asks the worker whether it is still this incarnation. */
   private async verify (tracked: TrackedIncarnation): Promise<boolean> {
-    if (tracked.verified) return true
     tracked.verified = typeof await this.options.worker.poll(this.context(tracked), { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }) !== 'string'
     return tracked.verified
   }
@@ -406,6 +430,11 @@
 /** Outcomes after which the worker may have restarted. */
 const unansweredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
 
+/** Whether the runs that control has assigned to the worker no longer fit it all together. */
+function isOverfull ({ capacity, used }: TrackedIncarnation): boolean {
+  return used !== undefined && !fitsInto(capacity, used)
+}
+
 function hasChanged (before: RunTable, after: RunTable): boolean {
   if (before.ends.size !== after.ends.size || before.runs.size !== after.runs.size) return true
   return [...after.runs].some(([name, run]) => phaseOf(before.runs.get(name)) !== phaseOf(run))
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -5,8 +5,8 @@
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
-  gangOf, RunOutcome, runName, StepTransactionKind, SuspectTracker,
-  type FleetView, type WorkerIncarnation, type IncarnationDescription, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
+  fitsInto, gangOf, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
+  type FleetView, type WorkerIncarnation, type IncarnationDescription, type Resources, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { CheckpointSelector } from './checkpoint-selector'
@@ -258,6 +258,7 @@
       for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation)
       if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
     }
+    if (recorded !== undefined) this.submitCapacity(recorded, resourcesOf(life))
     if (leaving && recorded?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveIncarnation, at: this.context.now(), incarnation: life.incarnation })
   }
 
@@ -297,6 +298,13 @@
     this.submit({ kind: StepTransactionKind.AnnounceIncarnation, at: this.context.now(), life })
   }
 
+  private submitCapacity (recorded: WorkerIncarnation, capacity: Resources): void {
+    const { incarnation } = recorded
+    if (sameResources(recorded, capacity)) return
+    this.context.log('worker-capacity-changed', { incarnation, before: resourcesOf(recorded), after: capacity })
+    this.submit({ kind: StepTransactionKind.ResizeIncarnation, at: this.context.now(), incarnation, capacity })
+  }
+
   private submitLoss (incarnation: string): void {
     if (this.context.head().steps.incarnations.has(incarnation)) this.submit(this.lossTransaction(incarnation))
   }
@@ -316,14 +324,16 @@
     }
   }
 
-  private handleRunEnds (incarnation: string, { ends }: wire.WorkerReport): void {
+  private handleRunEnds (incarnation: string, { ends, life: reported }: wire.WorkerReport): void {
     const life = this.context.head().steps.incarnations.get(incarnation)
     const acknowledged = life?.acknowledged ?? 0
     const newEnds = ends.flatMap(({ number, key, outcome, checkpoint }): RunEnd[] => {
       if (key === undefined || (number === 0 ? life?.runs.has(runName(key)) !== true : number <= acknowledged)) return []
       return [{ number, key, outcome: outcome as RunOutcome, checkpoint }]
     })
-    for (const { outcome } of newEnds) this.updateTrust(incarnation, outcome)
+    // A start that came too late for a capacity that has shrunk says nothing about the worker's health.
+    const overfull = life !== undefined && reported !== undefined && !fitsInto(reported, life.used)
+    for (const { outcome } of newEnds) if (outcome !== RunOutcome.NotStarted || !overfull) this.updateTrust(incarnation, outcome)
     if (newEnds.length > 0) this.submit({ kind: StepTransactionKind.EndRuns, at: this.context.now(), incarnation, ends: newEnds })
   }
 
@@ -387,6 +397,7 @@
       acknowledged: life?.acknowledged ?? 0,
       starts: commanded === undefined ? [] : this.startOrders(commanded, listed),
       stops: this.runsToStop(life, report),
+      used: life?.used,
       controlHosts: [...this.context.controlHosts()]
     })
     supervisor.call.write(orders)
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -6,7 +6,7 @@
 import { acceptJob, cancelJobs, endAttempt, endJobs, expire, finishJob, refuse, releaseJob, reserveJob, startJob, stopJob } from './jobs'
 import type { RecordLine } from './record'
 import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
-import { announceIncarnation, leaveIncarnation, loseIncarnation } from './steps/incarnations'
+import { announceIncarnation, leaveIncarnation, loseIncarnation, resizeIncarnation } from './steps/incarnations'
 import { endRuns, saveCheckpoints, startGang, stopGang } from './steps/runs'
 import { StepTransactionKind } from './steps/transactions'
 import type { State } from './state'
@@ -52,6 +52,7 @@
   [StepTransactionKind.StopGang]: stopGang,
   [StepTransactionKind.EndRuns]: endRuns,
   [StepTransactionKind.AnnounceIncarnation]: announceIncarnation,
+  [StepTransactionKind.ResizeIncarnation]: resizeIncarnation,
   [StepTransactionKind.LeaveIncarnation]: leaveIncarnation,
   [StepTransactionKind.LoseIncarnation]: loseIncarnation,
   [StepTransactionKind.SaveCheckpoints]: saveCheckpoints
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -2,7 +2,7 @@
 import type { ClientAccount, Guarantee, Section, Shape } from './document'
 import type { JobState, Reason } from './job'
 import type { RecordHead } from './state'
-import type { StepJobState } from './steps/model'
+import type { Resources, StepJobState } from './steps/model'
 import type { StepTransactionKind } from './steps/transactions'
 import type { TransactionKind } from './transaction'
 import type { Verdict } from './verdict'
@@ -53,6 +53,9 @@
   readonly task?: number
   /** Total accelerators of a run of a step; for a submitted step job, those needed to begin. */
   readonly accelerators?: number
+  /** Capacity of the worker before and after a change of it. */
+  readonly capacityBefore?: Resources
+  readonly capacityAfter?: Resources
   readonly team?: string
   /** Identifier of the writer's request. */
   readonly request?: string
--- a/src/core/steps/free-capacity.ts
+++ b/src/core/steps/free-capacity.ts
@@ -1,5 +1,6 @@
 /** Free capacity of each worker, and best-fit placement of tasks on it. */
 import { addResources, type WorkerIncarnation, type Resources, type StepSpecification } from './model'
+import { fitsInto } from './resources'
 import type { TaskPlacement } from './transactions'
 
 /** What one task requires of its worker. */
@@ -26,6 +27,7 @@
 
 /** Capacity of one worker. */
 export interface WorkerCapacity {
+  /** Negative where the runs there occupy more than the capacity, which has shrunk since they started. */
   readonly free: Resources
   /** Accelerators held by tasks without checkpoints. */
   readonly uncheckpointed: number
@@ -129,16 +131,6 @@
   return { free: addResources(worker, worker.used, -1), uncheckpointed: 0 }
 }
 
-/**
- * Tells whether a task fits into free resources.
- * @param free - the free resources
- * @param required - the resources of the task
- * @returns true where no resource is exceeded
- */
-export function fitsInto (free: Resources, required: Resources): boolean {
-  return required.processors <= free.processors && required.memoryMegabytes <= free.memoryMegabytes && required.accelerators <= free.accelerators
-}
-
 const unknownWorker: WorkerCapacity = { free: { processors: -1, memoryMegabytes: -1, accelerators: -1 }, uncheckpointed: 0 }
 
 /**
--- a/src/core/steps/incarnations.ts
+++ b/src/core/steps/incarnations.ts
@@ -1,11 +1,12 @@
-/** Log entries that concern one incarnation of a worker: announced, leaving, lost. */
+/** Log entries that concern one incarnation of a worker: announced, resized, leaving, lost. */
 import { Map as ImmutableMap } from 'immutable'
 import { ok, type Result } from 'neverthrow'
 import type { Draft } from '../draft'
 import type { Refusal } from '../verdict'
 import { noResources, type WorkerIncarnation } from './model'
+import { resourcesOf, sameResources } from './resources'
 import { endMember, setIncarnation } from './runs'
-import { StepTransactionKind, type AnnounceIncarnation, type LeaveIncarnation, type LoseIncarnation } from './transactions'
+import { StepTransactionKind, type AnnounceIncarnation, type LeaveIncarnation, type LoseIncarnation, type ResizeIncarnation } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
 type Outcome = Result<void, Refusal>
@@ -24,6 +25,22 @@
   return ok(undefined)
 }
 
+/**
+ * Changes the capacity of an incarnation. Its runs and the resources that they occupy stay as they are.
+ * @param draft - the draft being modified
+ * @param transaction - the log entry
+ * @returns nothing; this entry is never refused
+ */
+export function resizeIncarnation (draft: Draft, transaction: ResizeIncarnation): Outcome {
+  const { incarnation } = transaction
+  const worker = draft.steps.incarnations.get(incarnation)
+  const capacity = resourcesOf(transaction.capacity)
+  if (worker === undefined || sameResources(worker, capacity)) return ok(undefined)
+  setIncarnation(draft, { ...worker, ...capacity })
+  draft.recordEvent({ kind: StepTransactionKind.ResizeIncarnation, workers: [worker.worker], capacityBefore: resourcesOf(worker), capacityAfter: capacity })
+  return ok(undefined)
+}
+
 /**
  * Marks an incarnation as leaving, so that it gets no new work.
  * @param draft - the draft being modified
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,4 +1,5 @@
 export * from './model'
+export * from './resources'
 export * from './run'
 export * from './transactions'
 export {
--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -2,7 +2,8 @@
 import { queueOfJob } from './jobs'
 import { addResources, gangOf, noResources, type GangRun, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
-import { fitsInto, type FreeCapacity, type TaskRequirements } from './free-capacity'
+import type { FreeCapacity, TaskRequirements } from './free-capacity'
+import { fitsInto } from './resources'
 import type { GangKey, TaskPlacement } from './transactions'
 import type { RunKey } from './run'
 
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -193,7 +193,7 @@
   }
 }
 
-/** Measured capacity of each incarnation. The object of an incarnation is replaced whenever its runs change, so that entries never become outdated. */
+/** Measured capacity of each incarnation. The object of an incarnation is replaced whenever its runs or its capacity change, so that entries never become outdated. */
 const capacityCache = new WeakMap<WorkerIncarnation, WorkerCapacity>()
 
 function measureWorker (state: StepState, worker: WorkerIncarnation): WorkerCapacity {
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -1,5 +1,5 @@
 import type { TransactionBase } from '../transaction'
-import type { IncarnationDescription, StepJobSpecification, StopReason } from './model'
+import type { IncarnationDescription, Resources, StepJobSpecification, StopReason } from './model'
 import type { RunKey, RunOutcome } from './run'
 
 /** Kinds of the log entries that concern step jobs. */
@@ -11,6 +11,7 @@
   StopGang = 'stop-gang',
   EndRuns = 'end-runs',
   AnnounceIncarnation = 'announce-life',
+  ResizeIncarnation = 'resize-incarnation',
   LeaveIncarnation = 'leave-life',
   LoseIncarnation = 'lose-life',
   SaveCheckpoints = 'save-checkpoints'
@@ -90,6 +91,13 @@
   readonly life: IncarnationDescription
 }
 
+/** Changes the capacity of a worker. What runs there goes on, even where it occupies more than the new capacity. */
+export interface ResizeIncarnation extends TransactionBase {
+  readonly kind: StepTransactionKind.ResizeIncarnation
+  readonly incarnation: string
+  readonly capacity: Resources
+}
+
 /** Marks a worker as leaving, so that it gets no new work. */
 export interface LeaveIncarnation extends TransactionBase {
   readonly kind: StepTransactionKind.LeaveIncarnation
@@ -118,4 +126,4 @@
 
 /** See {@link StepTransactionKind}. */
 export type StepTransaction =
-  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceIncarnation | LeaveIncarnation | LoseIncarnation | SaveCheckpoints
+  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceIncarnation | ResizeIncarnation | LeaveIncarnation | LoseIncarnation | SaveCheckpoints
--- a/stand-ins/worker.ts
+++ b/stand-ins/worker.ts
@@ -32,11 +32,13 @@
   readonly specs: string[]
   /** Names of runs that started while another run of the task was running. */
   readonly overlappingRuns: string[]
+  /** For each started run, the number of other runs that were running. */
+  readonly beside: number[]
 }
 
 /** A worker. A task whose specification is a number runs for that many milliseconds; the specification "fail" fails. */
 export class WorkerStandIn {
-  readonly observations: WorkerObservations = { starts: [], specs: [], overlappingRuns: [] }
+  readonly observations: WorkerObservations = { starts: [], specs: [], overlappingRuns: [], beside: [] }
   /** Faults of the next orders, in order. */
   readonly faults: OrderFault[] = []
   readonly startedAt = Date.now()
@@ -129,6 +131,7 @@
     if (deadline <= this.clock) return { status: 409, body: { reason: 'late' } }
     if (attempt <= (this.highestAttempts.get(task) ?? 0)) return { status: 409, body: { reason: 'old' } }
     if ([...this.runs.values()].some((run) => run.task === task)) this.observations.overlappingRuns.push(name)
+    this.observations.beside.push(this.runs.size)
     const timer = setTimeout(() => { this.finish(name, spec === 'fail' ? 'failed' : 'done') }, Number(spec) || 0)
     this.runs.set(name, { task, attempt, startedAt: this.clock, spec, timer })
     this.highestAttempts.set(task, attempt)
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -82,6 +82,28 @@
   expect((await fixture.call('GET', '')).body).toEqual({ pending: 1 })
 })
 
+test('a worker whose capacity shrinks gets only what fits, and what fits again once it has grown', async () => {
+  await fixture.sendHeartbeat({ capacity: { cpu: 64_000, mem_mb: 131_072, gpu: 2 } })
+  await fixture.call('POST', '00000000000000a4', job('20', { gpu: 4 }))
+  await fixture.call('POST', '00000000000000a5', job('20', { gpu: 2 }))
+  await until(async () => await state('00000000000000a5') === 'completed')
+  expect(await state('00000000000000a4')).toBe('queued')
+  await fixture.sendHeartbeat({ capacity: { cpu: 64_000, mem_mb: 131_072, gpu: 16 } })
+  await fixture.call('POST', '00000000000000a6', job('20', { gpu: 16 }))
+  await until(async () => await state('00000000000000a4') === 'completed' && await state('00000000000000a6') === 'completed')
+  expect(fixture.worker.observations.starts).toEqual(['00000000000000a5.0.0.0/1', '00000000000000a4.0.0.0/1', '00000000000000a6.0.0.0/1'])
+})
+
+test('what runs on a worker whose capacity shrinks goes on, and nothing starts beside it until it fits', async () => {
+  await fixture.call('POST', '00000000000000a7', job('900', { gpu: 4 }))
+  await until(() => fixture.worker.running.length === 1)
+  await fixture.sendHeartbeat({ capacity: { cpu: 64_000, mem_mb: 131_072, gpu: 3 } })
+  await fixture.call('POST', '00000000000000a8', job('20', { gpu: 1 }))
+  await until(async () => await state('00000000000000a7') === 'completed')
+  await until(async () => await state('00000000000000a8') === 'completed')
+  expect(fixture.worker.observations).toMatchObject({ starts: ['00000000000000a7.0.0.0/1', '00000000000000a8.0.0.0/1'], beside: [0, 0] })
+})
+
 test('the document with the highest number is in force and is read back as sent; an invalid document is refused', async () => {
   const third = operatorDocument(3, { extra: { kept: true } })
   expect((await fixture.callOperatorApi('POST', '/config/replace', third)).status).toBe(200)
--- a/test/step-runs.test.ts
+++ b/test/step-runs.test.ts
@@ -1,6 +1,6 @@
 /** Log entries on step jobs, runs and workers: repeated, outdated and invalid entries must not corrupt the state. */
 import { expect, test } from 'vitest'
-import { decodeState, encodeState, RunOutcome, stateDigest, StepJobState, StepTransactionKind, StopReason, type RunKey } from '../src/core/index'
+import { apply, decodeState, encodeState, RunOutcome, stateDigest, StepJobState, StepTransactionKind, StopReason, type RunKey } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 const key = (task: number, attempt = 1, number = 0, job = 'j'): RunKey => ({ job, step: number, task, attempt })
@@ -58,6 +58,40 @@
   expect(world.start('wide', 1, 0, ['b@1'])).toBe('a worker is lost or leaving')
 })
 
+test('a changed capacity keeps the runs of its worker and what they occupy, and starts are checked against the newest one', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step({ tasks: 3, accelerators: 3 })])
+  world.start('j', 0, 0, ['a@1'])
+  world.start('j', 0, 1, ['a@1'])
+  const before = world.state.steps.incarnations.get('a@1')
+  expect(world.resize('a@1', { accelerators: 5 })).toBe('')
+  expect(world.state.steps.incarnations.get('a@1')).toEqual({ ...before, accelerators: 5 })
+  world.end('a@1', key(0), RunOutcome.Done)
+  expect(world.start('j', 0, 2, ['a@1'])).toBe('worker a cannot take one more task of the step')
+  world.resize('a@1', { accelerators: 6 })
+  expect(world.start('j', 0, 2, ['a@1'])).toBe('')
+  expect(world.state.steps.incarnations.get('a@1')?.used.accelerators).toBe(6)
+})
+
+test('a capacity of an unknown worker, or one that is already recorded, changes nothing', () => {
+  const world = StepWorld.create([worker('a')])
+  const { record, steps } = world.state
+  expect([world.resize('b@1', { accelerators: 1 }), world.resize('a@1', { accelerators: 8 })]).toEqual(['', ''])
+  expect(world.state.record).toEqual(record)
+  expect(world.state.steps.incarnations).toBe(steps.incarnations)
+  world.apply({ kind: StepTransactionKind.AnnounceIncarnation, at: world.now, life: worker('a', { accelerators: 4 }) })
+  expect(world.state.steps.incarnations.get('a@1')?.accelerators).toBe(8)
+})
+
+test('the audit record has the capacity before and after a change', () => {
+  const world = StepWorld.create([worker('a')])
+  const capacity = { processors: 1, memoryMegabytes: 2, accelerators: 3 }
+  const { lines } = apply(world.state, { kind: StepTransactionKind.ResizeIncarnation, at: world.now, incarnation: 'a@1', capacity })
+  expect(lines.map(({ text }) => JSON.parse(text))).toMatchObject([{
+    kind: 'resize-incarnation', workers: ['a'], capacityBefore: { processors: 64_000, memoryMegabytes: 131_072, accelerators: 8 }, capacityAfter: capacity
+  }])
+})
+
 test('when one member of a gang fails, the others are stopped and the attempt counts as one failure', () => {
   const world = StepWorld.create([worker('a'), worker('b')])
   world.submit('j', [step({ tasks: 3, gang: true })])
@@ -126,6 +160,7 @@
     const world = StepWorld.create([worker('a'), worker('b')])
     world.submit('j', [step({ tasks: 2, gang: true })])
     world.start('j', 0, 0, ['b@1', 'a@1'])
+    world.resize('a@1', { accelerators: 0 })
     return world
   }
   const [one, other] = [make(), make()]
--- a/test/steps-fixture.ts
+++ b/test/steps-fixture.ts
@@ -1,4 +1,4 @@
-import { apply, initialState, StepTransactionKind, type IncarnationDescription, type QueueDocument, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
+import { apply, initialState, noResources, StepTransactionKind, type IncarnationDescription, type QueueDocument, type Resources, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
 
 /** A step with the given fields; a single small task by default. */
 export function step (fields: Partial<StepSpecification> = {}): StepSpecification {
@@ -62,6 +62,12 @@
     this.apply({ kind: StepTransactionKind.EndRuns, at: this.now, incarnation, ends: [{ number: this.endNumber, key, outcome, checkpoint }] })
   }
 
+  /** Changes the given resources of a worker. */
+  resize (incarnation: string, fields: Partial<Resources>): string {
+    const { processors, memoryMegabytes, accelerators } = { ...(this.state.steps.incarnations.get(incarnation) ?? noResources), ...fields }
+    return this.apply({ kind: StepTransactionKind.ResizeIncarnation, at: this.now, incarnation, capacity: { processors, memoryMegabytes, accelerators } })
+  }
+
   applyAll (transactions: readonly StepTransaction[]): string[] {
     return transactions.map((transaction) => this.apply(transaction))
   }
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -136,6 +136,58 @@
   expect(fixture.lastReport?.life?.leaving).toBe(true)
 })
 
+test('the capacity of the newest heartbeat is reported at once, and a late heartbeat does not bring an older one back', async () => {
+  await until(() => fixture.reports.length > 2)
+  const sent = fixture.reports.length
+  const capacity = { processors: 3, memoryMegabytes: 4, accelerators: 0 }
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, ...capacity, sequence: 4 })
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  expect(fixture.reports.slice(sent).some(({ life }) => life?.processors === 3)).toBe(true)
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, sequence: 3 })
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@5', processors: 9, sequence: 4 })
+  const before = fixture.reports.length
+  await until(() => fixture.reports.length > before)
+  expect(fixture.lastReport?.life).toMatchObject(capacity)
+})
+
+test('a start that no longer fits the worker is not sent, and counts as not started', async () => {
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, accelerators: 0, sequence: 2 })
+  fixture.standingOrders = { starts: [{ key, payload: 'text', checkpoint: '' }], used: { processors: 1, memoryMegabytes: 1, accelerators: 1 } }
+  fixture.sendOrders(fixture.standingOrders)
+  await until(() => fixture.lastReport?.ends[0]?.outcome === RunOutcome.NotStarted)
+  expect(fixture.worker.calls).toEqual(['stop j 1 at w'])
+  expect(fixture.lastReport?.life?.accelerators).toBe(0)
+})
+
+test('an unanswered start that no longer fits the worker is not sent again, but stopped', async () => {
+  fixture.worker.answers = Array.from({ length: 1_000 }, () => noAnswer)
+  fixture.standingOrders = { starts: [{ key, payload: 'text', checkpoint: '' }], used: { processors: 1, memoryMegabytes: 1, accelerators: 1 } }
+  fixture.sendOrders(fixture.standingOrders)
+  await until(() => fixture.worker.calls.length > 0)
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, memoryMegabytes: 0, sequence: 2 })
+  await until(() => fixture.lastReport?.ends[0]?.outcome === RunOutcome.NotStarted)
+  expect(fixture.worker.calls.at(-1)).toBe('stop j 1 at w')
+  expect(fixture.worker.calls.filter((call) => call.startsWith('stop'))).toHaveLength(1)
+})
+
+test('a start is sent while everything that control has assigned to the worker fits it', async () => {
+  fixture.sendOrders({ starts: [{ key, payload: 'text' }], used: { processors: 1, memoryMegabytes: 1, accelerators: 1 } })
+  await until(() => fixture.lastReport?.runs[0]?.running)
+  expect(fixture.worker.calls).toHaveLength(1)
+})
+
+test('a heartbeat that comes while the incarnation changes is not lost', async () => {
+  fixture.worker.answers = Array.from({ length: 1_000 }, () => noAnswer)
+  fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
+  await until(() => fixture.worker.calls.length > 0)
+  fixture.worker.restart(9)
+  const next = { ...heartbeat, incarnation: 'w2@9', worker: 'w2', startedAt: 9 }
+  fixture.supervisor.handleHeartbeat(next)
+  fixture.supervisor.handleHeartbeat({ ...next, accelerators: 0, sequence: 2 })
+  await until(() => fixture.lastReport?.life?.incarnation === 'w2@9')
+  expect(fixture.lastReport?.life?.accelerators).toBe(0)
+})
+
 test('listed runs are reported to control, and an end is reported until control has recorded it', async () => {
   fixture.worker.running = [{ key, checkpoint: 'saved', percent: 40 }]
   fixture.sendOrders({ starts: [{ key: { ...key, job: 'other' }, payload: 'text' }] })
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -251,6 +251,28 @@
   expect([...leader.supervisors.fleetView().suspects]).toEqual(['a@1'])
 })
 
+test('a reported capacity that differs from the recorded one is proposed once, and logged', async () => {
+  const { host, ...life } = worker('a', { accelerators: 3, memoryMegabytes: 500 })
+  const report = { host, life: { ...life, labels: [...life.labels] } }
+  await leader.report(report)
+  await leader.report(report)
+  const after = { processors: 64_000, memoryMegabytes: 500, accelerators: 3 }
+  expect(leader.proposed).toMatchObject([{ kind: StepTransactionKind.ResizeIncarnation, incarnation: 'a@1', capacity: after }])
+  expect(leader.world.state.steps.incarnations.get('a@1')).toMatchObject(after)
+  expect(leader.logged).toContainEqual({ event: 'worker-capacity-changed', incarnation: 'a@1', before: { processors: 64_000, memoryMegabytes: 131_072, accelerators: 8 }, after })
+})
+
+test('orders state what all runs assigned to the worker occupy, and a run that no longer fits does not make it suspect', async () => {
+  leader.world.submit('j', [step({ accelerators: 6 })])
+  leader.world.start('j', 0, 0, ['a@1'])
+  const { host, ...life } = worker('a', { accelerators: 3 })
+  const report = { host, life: { ...life, labels: [...life.labels] } }
+  expect((await leader.report())?.used).toEqual({ processors: 1_000, memoryMegabytes: 1_000, accelerators: 6 })
+  await leader.report({ ...report, ends: [{ number: 0, key: { job: 'j', step: 0, task: 0, attempt: 1 }, outcome: RunOutcome.NotStarted }] })
+  expect([...leader.supervisors.fleetView().suspects]).toEqual([])
+  expect((await leader.report(report))?.used).toEqual({ processors: 0, memoryMegabytes: 0, accelerators: 0 })
+})
+
 test('a worker without recent reports is silent, so that it gets no new work', async () => {
   await leader.report()
   expect([...leader.supervisors.fleetView().silent]).toEqual([])
