Give up a gang under which workers crash, on evidence in the log

Callers saw: a task that crashes the worker that starts it was started again without end. Cause: an attempt that ends 'lost' counts as no failure (endMember), so nothing bounded it. Change: a loss carries its cause, the last sign of life and the gangs that had just started. The log keeps the crashes with the gang and ends its job ('workers-crashed', may-have-run) after two crashes of which one has no other explanation, after three in any case, after five where whole racks went down; startGang refuses a gang past these bounds. Suspected gangs start apart from other new runs.

--- a/src/core/account-statement.ts
+++ b/src/core/account-statement.ts
@@ -17,6 +17,7 @@
   Reclaimed = 'reclaimed',
   Waiting = 'waiting',
   TaskEnded = 'task-ended',
+  WorkerCrashed = 'worker-crashed',
   Ended = 'ended',
   Refused = 'refused'
 }
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -1,5 +1,6 @@
 import type { AttemptKey } from './transaction'
 import type { Section } from './document'
+import type { CrashEvidence } from './steps/crash-evidence'
 import type { RunOutcome } from './steps/run'
 import type { GangKey } from './steps/transactions'
 
@@ -23,7 +24,9 @@
   /** A step job has ended. */
   StepJobEnded = 'step-job-ended',
   /** A task of a step job's run has ended. */
-  StepRunEnded = 'step-run-ended'
+  StepRunEnded = 'step-run-ended',
+  /** A worker crashed, and a gang that had just started there may be the cause. */
+  StepGangSuspected = 'step-gang-suspected'
 }
 
 /** An order or acknowledgement for the agent of one worker. */
@@ -72,5 +75,16 @@
   readonly ranMilliseconds: number
 }
 
+/** A worker crashed, and a gang that had just started there may be the cause. */
+export interface StepGangSuspected extends GangKey {
+  readonly kind: EffectKind.StepGangSuspected
+  readonly attempt: number
+  /** The incarnation that crashed. */
+  readonly incarnation: string
+  readonly evidence: CrashEvidence
+  /** Attempts of the gang that have crashed workers so far. */
+  readonly crashes: number
+}
+
 /** See {@link EffectKind}. */
-export type Effect = AgentEffect | JobChanged | ConfigurationChanged | IncarnationChanged | DocumentReplaced | StepJobEnded | StepRunEnded
+export type Effect = AgentEffect | JobChanged | ConfigurationChanged | IncarnationChanged | DocumentReplaced | StepJobEnded | StepRunEnded | StepGangSuspected
--- a/src/core/step-statement.ts
+++ b/src/core/step-statement.ts
@@ -1,8 +1,10 @@
 /** Lines of an account statement for step jobs. */
 import { StatementKind, type JobSummary, type StatementEvent } from './account-statement'
 import type { RecordEvent } from './record'
-import { StepJobState, StopReason } from './steps/model'
+import { CrashEvidence } from './steps/crash-evidence'
+import { JobEndReason, StepJobState, StopReason } from './steps/model'
 import { StepTransactionKind } from './steps/transactions'
+import { Verdict } from './verdict'
 
 /** The part of the statement builder that the handlers for step jobs use. */
 export interface StatementWriter {
@@ -19,7 +21,8 @@
   [StepTransactionKind.SubmitSteps]: onSubmitted,
   [StepTransactionKind.StartGang]: onGangStarted,
   [StepTransactionKind.StopGang]: onGangStopped,
-  [StepTransactionKind.EndRuns]: onEnded
+  [StepTransactionKind.EndRuns]: onEnded,
+  [StepTransactionKind.LoseIncarnation]: onWorkerCrashed
 }
 
 function onGuaranteeChanged (writer: StatementWriter, event: StatementEvent): void {
@@ -71,9 +74,32 @@
   if (event.state === undefined) { onTaskEnded(writer, event, job); return }
   job.state = event.state
   job.endedAt = event.at
-  job.reason = event.state
+  job.reason = event.reason ?? event.state
+  job.verdict = event.verdict
   if (event.state === StepJobState.Completed) job.finishes++
-  writer.addLine(event, StatementKind.Ended, `job ${job.job} ${event.state}, ${((event.at - job.acceptedAt) / 1_000).toFixed(3)} s after its acceptance`)
+  writer.addLine(event, StatementKind.Ended, `job ${job.job} ${event.state}${endReasonText(event)}, ${((event.at - job.acceptedAt) / 1_000).toFixed(3)} s after its acceptance`)
+}
+
+const endReasonTexts: { readonly [reason: string]: string } = {
+  [JobEndReason.WorkersCrashed]: ': its workers crashed'
+}
+
+function endReasonText ({ reason, verdict }: StatementEvent): string {
+  return `${endReasonTexts[reason ?? ''] ?? ''}${verdict === Verdict.MayHaveRun ? ', it may have run' : ''}`
+}
+
+const evidenceTexts: { readonly [evidence: string]: string } = {
+  [CrashEvidence.Alone]: 'nothing else had just started there',
+  [CrashEvidence.BesideOthers]: 'other runs had just started there as well',
+  [CrashEvidence.WithRack]: 'its whole rack was lost at the same time'
+}
+
+/** A crash that counts against a gang. Losses of workers without a job add no lines. */
+function onWorkerCrashed (writer: StatementWriter, event: StatementEvent): void {
+  const job = jobOf(writer, event)
+  if (job === undefined) return
+  const { step = 0, attempt = 0, workers = [], reason } = event
+  writer.addLine(event, StatementKind.WorkerCrashed, `job ${job.job} step ${step} attempt ${attempt}: worker ${workers.join(', ')} crashed just after this start, and ${evidenceTexts[reason ?? ''] ?? String(reason)}`)
 }
 
 function onTaskEnded (writer: StatementWriter, event: StatementEvent, { job }: JobSummary): void {
--- a/src/core/steps/incarnations.ts
+++ b/src/core/steps/incarnations.ts
@@ -2,10 +2,13 @@
 import { Map as ImmutableMap } from 'immutable'
 import { ok, type Result } from 'neverthrow'
 import type { Draft } from '../draft'
+import { EffectKind } from '../effect'
 import type { Refusal } from '../verdict'
-import { noResources, type WorkerIncarnation } from './model'
+import { gangUnderSuspicion, isPastCrashBound, withCrash, withLoss, type CrashSuspect } from './crash-evidence'
+import { endStepJob, setStepJob } from './jobs'
+import { gangOf, IncarnationLossCause, JobEndReason, noResources, StepJobState, type WorkerIncarnation } from './model'
 import { resourcesOf, sameResources } from './resources'
-import { endMember, setIncarnation } from './runs'
+import { endMember, replaceGang, setIncarnation } from './runs'
 import { StepTransactionKind, type AnnounceIncarnation, type LeaveIncarnation, type LoseIncarnation, type ResizeIncarnation } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
@@ -57,22 +60,48 @@
 }
 
 /**
- * Ends all runs of an incarnation as lost and removes it.
+ * Ends all runs of an incarnation as lost and removes it. A crash counts against the gangs that may have caused it.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing; this entry is never refused
  */
 export function loseIncarnation (draft: Draft, transaction: LoseIncarnation): Outcome {
-  const { incarnation, checkpoints } = transaction
+  const { incarnation, checkpoints, cause, aliveAt } = transaction
   const worker = draft.steps.incarnations.get(incarnation)
   if (worker === undefined) return ok(undefined)
   const newest = new Map(checkpoints.map(({ key, checkpoint }) => [runName(key), checkpoint]))
+  const suspects = suspectsOn(draft, worker, transaction)
   for (const [name, key] of sortedByName(worker.runs)) endMember(draft, key, incarnation, RunOutcome.Lost, newest.get(name) ?? '')
-  draft.steps = { ...draft.steps, incarnations: draft.steps.incarnations.delete(incarnation) }
-  draft.recordEvent({ kind: StepTransactionKind.LoseIncarnation, workers: [worker.worker] })
+  const losses = withLoss(draft.steps.losses, { incarnation, host: worker.host, rack: worker.rack, at: draft.at, aliveAt })
+  draft.steps = { ...draft.steps, incarnations: draft.steps.incarnations.delete(incarnation), losses }
+  draft.recordEvent({ kind: StepTransactionKind.LoseIncarnation, workers: [worker.worker], reason: cause })
+  for (const suspect of suspects) recordCrash(draft, suspect, worker)
   return ok(undefined)
 }
 
+/** The suspects of which a task is on the worker. A worker that was leaving may have ended by itself. */
+function suspectsOn (draft: Draft, worker: WorkerIncarnation, { cause, suspects = [] }: LoseIncarnation): CrashSuspect[] {
+  if (cause !== IncarnationLossCause.Replaced || worker.leaving) return []
+  return suspects.filter((suspect) => {
+    const gang = gangUnderSuspicion(draft.steps, suspect)
+    return gang !== undefined && worker.runs.some((key) => key.job === suspect.job && key.step === suspect.step && key.attempt === suspect.attempt && gangOf(draft.steps.jobs.get(key.job), key) === gang)
+  })
+}
+
+/** Ends the job of the gang where the evidence suffices. */
+function recordCrash (draft: Draft, suspect: CrashSuspect, { worker, incarnation }: WorkerIncarnation): void {
+  const job = draft.steps.jobs.get(suspect.job)
+  const gang = gangUnderSuspicion(draft.steps, suspect)
+  if (job === undefined || gang === undefined) return
+  const { attempt, evidence, step } = suspect
+  const suspected = withCrash(gang, { attempt, worker, evidence })
+  const updated = replaceGang(job, suspect, suspected)
+  setStepJob(draft, updated)
+  draft.recordEvent({ kind: StepTransactionKind.LoseIncarnation, account: job.account, job: job.identifier, step, task: gang.first, attempt, workers: [worker], reason: evidence })
+  draft.addEffect({ kind: EffectKind.StepGangSuspected, job: job.identifier, step, gang: suspect.gang, attempt, incarnation, evidence, crashes: suspected.crashes?.length ?? 0 })
+  if (isPastCrashBound(suspected)) endStepJob(draft, updated, StepJobState.Failed, JobEndReason.WorkersCrashed)
+}
+
 /** Sorted by name, so that every control host ends the runs in the same order, in whatever order they were added. */
 function sortedByName (runs: WorkerIncarnation['runs']): Array<[string, RunKey]> {
   return [...runs.entries()].sort(([one], [other]) => one < other ? -1 : 1)
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,3 +1,4 @@
+export { assessCrash, CrashEvidence, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
 export * from './model'
 export * from './resources'
 export * from './run'
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -3,9 +3,9 @@
 import type { Draft } from '../draft'
 import { EffectKind } from '../effect'
 import type { AcceleratorGuarantee } from '../record'
-import { notRunRefusal, RefusalCode, type Refusal } from '../verdict'
+import { notRunRefusal, RefusalCode, Verdict, type Refusal } from '../verdict'
 import { checkQueueDocument, type Queue, type QueueAccount, type QueueDocument } from './document'
-import { StepJobState, stepJobEnded, StopReason, type Gang, type StepJob, type StepState } from './model'
+import { StepJobState, stepJobEnded, type JobEndReason, StopReason, type Gang, type StepJob, type StepState } from './model'
 import { initialAccelerators, initialGangs } from './specification'
 import { StepTransactionKind, type CancelSteps, type ReplaceDocument, type SubmitSteps } from './transactions'
 
@@ -89,12 +89,13 @@
  * @param draft - the draft being modified
  * @param job - the current job
  * @param state - its final state
+ * @param endReason - why it failed, where its attempts are not the reason
  */
-export function endStepJob (draft: Draft, job: StepJob, state: StepJobState): void {
+export function endStepJob (draft: Draft, job: StepJob, state: StepJobState, endReason?: JobEndReason): void {
   const reason = state === StepJobState.Cancelled ? StopReason.Cancelled : StopReason.JobFailed
   const gangs = job.gangs.map((step) => step.map((gang) => markGangStopping(draft, gang, reason)))
-  setStepJob(draft, { ...job, state, endedAt: draft.at, gangs })
-  draft.recordEvent({ kind: StepTransactionKind.EndRuns, account: job.account, job: job.identifier, state })
+  setStepJob(draft, { ...job, state, endedAt: draft.at, gangs, ...endReason !== undefined && { endReason } })
+  draft.recordEvent({ kind: StepTransactionKind.EndRuns, account: job.account, job: job.identifier, state, ...endReason !== undefined && { reason: endReason, verdict: Verdict.MayHaveRun } })
   draft.addEffect({ kind: EffectKind.StepJobEnded, job: job.identifier })
 }
 
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -1,6 +1,7 @@
 /** Data model of step jobs: what callers request, the state of gangs and runs, and the workers' incarnations. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument, Queue } from './document'
+import type { WorkerCrash } from './crash-evidence'
 import type { RunKey } from './run'
 
 /** Resources of a worker, or those that a task occupies on it. */
@@ -65,6 +66,12 @@
   Incomplete = 'incomplete'
 }
 
+/** Why a job failed, where its attempts are not the reason. */
+export enum JobEndReason {
+  /** Workers crashed when they started one of its gangs. */
+  WorkersCrashed = 'workers-crashed'
+}
+
 /** One task of a run, on its worker. */
 export interface RunMember {
   readonly task: number
@@ -95,6 +102,8 @@
   readonly failures: number
   readonly checkpoint: string
   readonly done: boolean
+  /** Crashes of workers that had just started it; absent for none. */
+  readonly crashes?: readonly WorkerCrash[]
   /** Present until every member has ended. */
   readonly run?: GangRun
 }
@@ -111,6 +120,7 @@
   readonly acceptedAt: number
   /** Milliseconds since the epoch; 0 while it has not ended. */
   readonly endedAt: number
+  readonly endReason?: JobEndReason
   readonly started: boolean
   /** The gangs of each step. */
   readonly gangs: ReadonlyArray<readonly Gang[]>
@@ -145,6 +155,26 @@
   readonly used: Resources
 }
 
+/** Why an incarnation is lost. */
+export enum IncarnationLossCause {
+  /** Its host announced another incarnation: it crashed, unless it was leaving. */
+  Replaced = 'replaced',
+  Deregistered = 'deregistered',
+  /** Its lease ran out; whether it crashed is unknown. */
+  LeaseExpired = 'lease-expired'
+}
+
+/** A loss of an incarnation, kept for a while to recognize those that are lost together. */
+export interface IncarnationLoss {
+  readonly incarnation: string
+  readonly host: string
+  readonly rack: string
+  /** Milliseconds since the epoch. */
+  readonly at: number
+  /** When the leader last saw it alive, in milliseconds since the epoch; absent where it never did. */
+  readonly aliveAt?: number
+}
+
 /** The part of the replicated state that concerns step jobs. */
 export interface StepState {
   readonly document?: NumberedDocument
@@ -152,13 +182,15 @@
   /** Identifiers of the jobs that have not ended or still have runs. */
   readonly open: ImmutableSet<string>
   readonly incarnations: ImmutableMap<string, WorkerIncarnation>
+  /** Losses of the last while, oldest first. */
+  readonly losses: readonly IncarnationLoss[]
 }
 
 /** The zero of {@link addResources}. */
 export const noResources: Resources = { processors: 0, memoryMegabytes: 0, accelerators: 0 }
 
 /** The state before the first log entry. */
-export const initialStepState: StepState = { jobs: ImmutableMap(), open: ImmutableSet(), incarnations: ImmutableMap() }
+export const initialStepState: StepState = { jobs: ImmutableMap(), open: ImmutableSet(), incarnations: ImmutableMap(), losses: [] }
 
 /**
  * Adds or subtracts resources.
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -3,6 +3,7 @@
 import type { Draft } from '../draft'
 import { EffectKind } from '../effect'
 import { notRunRefusal, RefusalCode, type Refusal } from '../verdict'
+import { isPastCrashBound } from './crash-evidence'
 import { endStepJob, markGangStopping, queueOfJob, setStepJob } from './jobs'
 import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type WorkerIncarnation, type StepJob, type StepSpecification } from './model'
 import { FreeCapacity, requirementsOf } from './free-capacity'
@@ -25,6 +26,7 @@
   const { attempt, placements } = transaction
   if (stepJobEnded(job) || gang.done || gang.run !== undefined) return conflict('the gang is not waiting')
   if (attempt !== gang.attempts + 1 || placements.length !== gang.size) return conflict('the attempt number or the number of placements does not match the gang')
+  if (isPastCrashBound(gang)) return conflict('too many workers crashed under the gang')
   if (!stepsDone(job, step.after)) return conflict('an earlier step is not done')
   for (const placement of placements) {
     const allocated = allocateTask(draft, { job: job.identifier, step: transaction.step, task: placement.task, attempt }, placement, step)
@@ -166,7 +168,15 @@
   return { job: job.identifier, step, gang: job.gangs[step]?.indexOf(gang) ?? -1 }
 }
 
-function replaceGang (job: StepJob, { step, gang: position }: GangKey, gang: Gang): StepJob {
+/**
+ * Replaces a gang of a job.
+ * @param job - the job
+ * @param key - step and position of the gang
+ * @param gang - the updated gang
+ * @returns the updated job
+ */
+export function replaceGang (job: StepJob, key: GangKey, gang: Gang): StepJob {
+  const { step, gang: position } = key
   return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? gangs.map((other, index) => index === position ? gang : other) : gangs) }
 }
 
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,4 +1,6 @@
 /** One scheduling round for step jobs: runs to stop, or else gangs to start and to preempt, in scheduling order. */
+import { isCrashSuspect } from './crash-evidence'
+import { CrashIsolation } from './crash-isolation'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import { addResources, StopReason, type WorkerIncarnation, type StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
@@ -20,6 +22,8 @@
   readonly progress: ReadonlyMap<string, RunProgress>
   /** False until agents have had time to report to a new leader: before that, a run without a report must not be stopped as missing. */
   readonly complete: boolean
+  /** When this leader last saw each incarnation alive, in milliseconds since the epoch; absent where all count as alive. */
+  readonly aliveAt?: ReadonlyMap<string, number>
 }
 
 /** Time after which a guaranteed gang is spread over several racks; leaves half of the time allowed for a reclaim. */
@@ -57,6 +61,7 @@
   private readonly workers = new Map<string, WorkerIncarnation[]>()
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
+  private readonly isolation: CrashIsolation
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -64,6 +69,7 @@
     releaseStopping(state, this.expectedCapacity)
     this.guaranteed = guaranteedJobs(state)
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
+    this.isolation = CrashIsolation.of(state, view)
   }
 
   static create (state: StepState, view: FleetView, policy: StepPolicy): SchedulingRound {
@@ -103,10 +109,13 @@
     return { total, uncheckpointed }
   }
 
+  /** Returns false where there is not enough free capacity. */
   private start (waiting: WaitingGang): boolean {
-    const workers = this.eligible(waiting)
-    const placements = this.place(waiting, workers)
-    if (placements === undefined) return false
+    const workers = this.isolation.open(this.eligible(waiting))
+    const suspect = isCrashSuspect(waiting.gang)
+    const placements = this.place(waiting, workers, suspect ? (group) => this.isolation.quiet(group) : undefined)
+    if (placements === undefined) return suspect && this.hold(waiting, workers)
+    this.isolation.recordStart(placements, suspect)
     const { key, gang, requirements } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
     this.decisions.push(decision)
@@ -115,9 +124,20 @@
     return true
   }
 
-  private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
+  /** Lets a suspect wait for the runs on some workers to settle. Returns false where there is not enough free capacity. */
+  private hold (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): boolean {
+    if (!this.isolation.mayHold) return true
+    const placements = this.place(waiting, workers)
+    if (placements === undefined) return false
+    this.isolation.hold(placements)
+    for (const { incarnation } of placements) this.expectedCapacity.allocate(incarnation, waiting.requirements)
+    return true
+  }
+
+  /** Tries the groups in order, each split by preference. */
+  private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[], split = (group: WorkerIncarnation[]) => [group]): TaskPlacement[] | undefined {
     const tasks = taskPositions(waiting)
-    for (const group of this.groups(waiting, workers)) {
+    for (const group of this.groups(waiting, workers).flatMap(split)) {
       const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity)
       if (placements !== undefined) return placements
     }
@@ -151,7 +171,7 @@
    */
   private placementClass (waiting: WaitingGang): string {
     const { key, gang, queue, step, requirements, guaranteed } = waiting
-    const scope = [queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
+    const scope = [isCrashSuspect(gang), queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
     return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, ownStep].join(' ')
   }
@@ -159,7 +179,7 @@
   /** Stops gangs to free capacity for an urgent gang, and reserves that capacity against the gangs later in the order. */
   private preempt (waiting: WaitingGang): boolean {
     if (waiting.queue.priority !== 0) return false
-    const workers = this.eligible(waiting)
+    const workers = this.isolation.open(this.eligible(waiting))
     const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -1,7 +1,7 @@
 /** The part of a snapshot that concerns step jobs. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument } from './document'
-import { initialStepState, type WorkerIncarnation, type StepJob, type StepState } from './model'
+import { initialStepState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
 import { runName, type RunKey } from './run'
 
 /** An incarnation with its runs as a list. */
@@ -15,6 +15,8 @@
   readonly jobs: readonly StepJob[]
   readonly open: readonly string[]
   readonly lives: readonly StoredIncarnation[]
+  /** Absent for none. */
+  readonly losses?: readonly IncarnationLoss[]
 }
 
 /**
@@ -23,12 +25,13 @@
  * @returns the stored form
  */
 export function toStoredSteps (state: StepState): StoredStepState {
-  const { document, jobs, open, incarnations } = state
+  const { document, jobs, open, incarnations, losses } = state
   return {
     document,
     jobs: valuesByKey(jobs),
     open: open.toArray().sort(),
-    lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) }))
+    lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) })),
+    ...losses.length > 0 && { losses }
   }
 }
 
@@ -43,7 +46,8 @@
     document: stored.document,
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
     open: ImmutableSet(stored.open),
-    incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }]))
+    incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
+    losses: stored.losses ?? []
   }
 }
 
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -1,5 +1,6 @@
 import type { TransactionBase } from '../transaction'
-import type { IncarnationDescription, Resources, StepJobSpecification, StopReason } from './model'
+import type { CrashSuspect } from './crash-evidence'
+import type { IncarnationDescription, IncarnationLossCause, Resources, StepJobSpecification, StopReason } from './model'
 import type { RunKey, RunOutcome } from './run'
 
 /** Kinds of the log entries that concern step jobs. */
@@ -110,6 +111,12 @@
   readonly incarnation: string
   /** The last reported checkpoints of its runs. */
   readonly checkpoints: readonly RunCheckpoint[]
+  /** Absent in entries from before causes were recorded. */
+  readonly cause?: IncarnationLossCause
+  /** When the leader last saw it alive, in milliseconds since the epoch; absent where it never did. */
+  readonly aliveAt?: number
+  /** Gangs that may have crashed the worker; ignored unless it was replaced. */
+  readonly suspects?: readonly CrashSuspect[]
 }
 
 /** A checkpoint of a run. */
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -1,4 +1,5 @@
 /** Explains why gangs wait, for the log. Has no influence on scheduling. */
+import { isCrashSuspect } from './crash-evidence'
 import { hasLabel, eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import type { WorkerIncarnation, StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
@@ -17,6 +18,8 @@
   WorkersSuspected = 'workers-not-trusted',
   /** There is enough free capacity, but not within one rack. */
   NoRack = 'no-rack',
+  /** Workers crashed just after its starts, so it waits for one on which nothing else has just started. */
+  CrashSuspect = 'crash-suspect',
   /** There is not enough free capacity, and its account's guaranteed accelerators are in use. */
   GuaranteeUsedUp = 'guarantee-used-up',
   NoFreeCapacity = 'no-room'
@@ -57,6 +60,7 @@
   if (workers.length === 0) return WaitingReason.WorkersSilent
   if (workers.every(({ incarnation }) => constraints.suspects.has(incarnation))) return WaitingReason.WorkersSuspected
   if (prefersOneRack(step) && rackGroups(step, workers).length > 1 && fitsAcrossRacks(waiting, workers, capacity)) return WaitingReason.NoRack
+  if (isCrashSuspect(waiting.gang) && fitsAcrossRacks(waiting, workers, capacity)) return WaitingReason.CrashSuspect
   return queue.priority === 0 && !guaranteed ? WaitingReason.GuaranteeUsedUp : WaitingReason.NoFreeCapacity
 }
 
--- a/test/steps-fixture.ts
+++ b/test/steps-fixture.ts
@@ -1,4 +1,4 @@
-import { apply, initialState, noResources, StepTransactionKind, type IncarnationDescription, type QueueDocument, type Resources, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
+import { apply, assessCrash, IncarnationLossCause, initialState, noResources, StepTransactionKind, type IncarnationDescription, type QueueDocument, type RecordLine, type Resources, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
 
 /** A step with the given fields; a single small task by default. */
 export function step (fields: Partial<StepSpecification> = {}): StepSpecification {
@@ -28,6 +28,8 @@
 /** Drives the core through transactions, without agents or a replicated log. */
 export class StepWorld {
   now = 1_000_000
+  /** Lines of the audit record so far. */
+  readonly lines: RecordLine[] = []
   private constructor (public state: State) {}
 
   static create (workers: readonly IncarnationDescription[] = [], document = queueDocument): StepWorld {
@@ -39,8 +41,9 @@
 
   /** Applies a transaction; returns the message of its refusal, empty where it was accepted. */
   apply (transaction: Transaction): string {
-    const { state, outcome } = apply(this.state, transaction)
+    const { state, outcome, lines } = apply(this.state, transaction)
     this.state = state
+    this.lines.push(...lines)
     return outcome.isErr() ? outcome.error.message : ''
   }
 
@@ -68,6 +71,13 @@
     return this.apply({ kind: StepTransactionKind.ResizeIncarnation, at: this.now, incarnation, capacity: { processors, memoryMegabytes, accelerators } })
   }
 
+  /** Loses an incarnation that another one replaced, as a leader records it that last saw each worker alive at the given times. */
+  crash (incarnation: string, aliveAt: ReadonlyMap<string, number>): void {
+    const { steps } = this.state
+    const suspects = assessCrash(steps, incarnation, { aliveAt, now: this.now })
+    this.apply({ kind: StepTransactionKind.LoseIncarnation, at: this.now, incarnation, checkpoints: [], cause: IncarnationLossCause.Replaced, aliveAt: aliveAt.get(incarnation), suspects })
+  }
+
   applyAll (transactions: readonly StepTransaction[]): string[] {
     return transactions.map((transaction) => this.apply(transaction))
   }
