Tell a crash from a deregistration and a lease that ran out, and log what it counts against

The leader sees a worker alive when the worker's own clock advances, not when its agent reports; it proposes each loss with its cause and, for a crash that it saw happen, the gangs that may be the cause. Log lines 'crash-suspected', 'cause' in 'worker-lost', 'reason' in 'job-ended'; the metric bramleyflow_control_crash_suspects_total.

--- a/src/control/decision-log.ts
+++ b/src/control/decision-log.ts
@@ -1,5 +1,5 @@
 /** Logs and counts each decision on a gang, with those of its inputs that are not available later. */
-import { explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StepRunEnded, type StopGang, type Transaction, type WaitingReason } from '../core/index'
+import { explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StepGangSuspected, type StepRunEnded, type StopGang, type Transaction, type WaitingReason } from '../core/index'
 import type { ControlMetrics } from './metrics'
 import type { Supervisors } from './supervisors'
 
@@ -82,6 +82,12 @@
     for (const { fields, workers } of lines.values()) this.context.log('runs-ended', { ...fields, workers })
   }
 
+  /** Logs that a worker crashed just after the start of a gang. */
+  logCrashSuspect ({ job, step, gang, attempt, incarnation, evidence, crashes }: StepGangSuspected): void {
+    this.context.metrics.countCrashSuspect(evidence)
+    this.context.log('crash-suspected', { job, step, gang, attempt, incarnation, evidence, crashes, term: this.context.term() })
+  }
+
   /** Logs the end of a step job. */
   logJobEnd (committed: State, identifier: string): void {
     const { jobs, document } = committed.steps
@@ -89,7 +95,7 @@
     if (job === undefined) return
     const runs = job.gangs.flat().reduce((sum, gang) => sum + gang.attempts, 0)
     this.context.log('job-ended', {
-      job: identifier, state: job.state, queue: job.queue.name, tookMilliseconds: job.endedAt - job.acceptedAt, runs, document: document?.number
+      job: identifier, state: job.state, reason: job.endReason, queue: job.queue.name, tookMilliseconds: job.endedAt - job.acceptedAt, runs, document: document?.number
     })
   }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -341,6 +341,8 @@
       for (const section of effect.sections) changed.add(section)
     } else if (effect.kind === EffectKind.StepJobEnded) {
       this.decisionLog.logJobEnd(this.machine.committed, effect.job)
+    } else if (effect.kind === EffectKind.StepGangSuspected) {
+      this.decisionLog.logCrashSuspect(effect)
     } else if (agentEffectKinds.has(effect.kind) && effect.kind !== EffectKind.Reserve) {
       this.agents.sendCommand(effect as AgentEffect)
     }
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -57,6 +57,10 @@
     name: 'bramleyflow_control_gangs_stopped_total', help: 'Runs of gangs stopped, by reason', labelNames: ['reason'], registers: [this.registry]
   })
 
+  private readonly crashSuspects = new Counter({
+    name: 'bramleyflow_control_crash_suspects_total', help: 'Gangs that may have crashed a worker, by evidence', labelNames: ['evidence'], registers: [this.registry]
+  })
+
   private readonly firstStarts = new Histogram({
     name: 'bramleyflow_control_first_start_seconds', help: 'Time from acceptance to the first start of a gang', labelNames: ['priority'], buckets: FIRST_START_BUCKETS_SECONDS, registers: [this.registry]
   })
@@ -99,6 +103,11 @@
     this.gangsStopped.inc({ reason })
   }
 
+  /** Counts a gang that may have crashed a worker. */
+  countCrashSuspect (evidence: string): void {
+    this.crashSuspects.inc({ evidence })
+  }
+
   /** Counts a start of leadership. */
   countLeadership (): void {
     this.termsLed.inc()
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -5,13 +5,14 @@
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
-  fitsInto, gangOf, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
+  assessCrash, fitsInto, gangOf, IncarnationLossCause, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
   type FleetView, type WorkerIncarnation, type IncarnationDescription, type Resources, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { CheckpointSelector } from './checkpoint-selector'
 import { notLeaderRefusal } from './convert'
 import { RunProgressTracker } from './run-progress'
+import { SignsOfLifeTracker } from './signs-of-life'
 
 /** The server side of a supervising agent's stream. */
 export type SupervisorCall = ServerDuplexStream<wire.WorkerReport, wire.WorkerOrders>
@@ -84,6 +85,7 @@
   private readonly progress = RunProgressTracker.create()
   /** The last report of each agent. */
   private readonly lastReports = new Map<Supervisor, wire.WorkerReport>()
+  private readonly signsOfLife = SignsOfLifeTracker.create()
   private readonly trust = SuspectTracker.create()
   private readonly checkpointSelector = CheckpointSelector.create()
   /** Names of the runs that the last report listed as running although the log does not assign them, by incarnation. */
@@ -111,6 +113,7 @@
     this.lastReportAt.clear()
     this.trust.clear()
     this.unassignedRuns.clear()
+    this.signsOfLife.clear()
   }
 
   /** Ends all streams and refers the agents to the next leader. */
@@ -161,7 +164,7 @@
     const earliestExpiry = this.leadingSince + this.maxLeaseMilliseconds
     return this.context.head().steps.incarnations.valueSeq().toArray()
       .filter(({ incarnation }) => now > (this.leaseExpiresAt.get(incarnation) ?? earliestExpiry))
-      .map(({ incarnation }) => this.lossTransaction(incarnation))
+      .map(({ incarnation }) => this.lossTransaction(incarnation, IncarnationLossCause.LeaseExpired))
   }
 
   /** Returns a transaction with checkpoints that the log does not have yet, or undefined where there are none. */
@@ -178,6 +181,7 @@
       this.lastReportAt.delete(incarnation)
       this.progress.forget(incarnation)
       this.unassignedRuns.delete(incarnation)
+      this.signsOfLife.forget(incarnation)
     }
   }
 
@@ -189,6 +193,7 @@
       silent: this.silentIncarnations(),
       suspects: this.trust.suspects(now),
       progress: this.progress.all,
+      aliveAt: this.signsOfLife.aliveAt,
       complete: performance.now() - this.leadingSince > REPORTS_COMPLETE_AFTER_MILLISECONDS
     }
   }
@@ -213,8 +218,10 @@
     if (this.replacedCalls.has(call)) return
     if (this.isOutdated(report)) { this.context.log('report-outdated', { host: report.host, incarnation: report.life?.incarnation }); call.end(); return }
     const supervisor = this.register(call, report)
+    this.recordSignOfLife(supervisor.incarnation, report.clock)
     const { life } = report
-    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation)
+    const cause = life === undefined ? IncarnationLossCause.Deregistered : IncarnationLossCause.Replaced
+    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause)
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
@@ -224,6 +231,13 @@
     void this.answerPendingReports()
   }
 
+  /** An incarnation that was lost before may report again although its worker has crashed. */
+  private recordSignOfLife (incarnation: string, clock: number): void {
+    const { incarnations, losses } = this.context.head().steps
+    const justStarted = !incarnations.has(incarnation) && losses.every((loss) => loss.incarnation !== incarnation)
+    if (incarnation !== '') this.signsOfLife.record(incarnation, clock, this.context.now(), justStarted)
+  }
+
   private register (call: SupervisorCall, { host, life }: wire.WorkerReport): Supervisor {
     let supervisor = this.byCall.get(call)
     if (supervisor === undefined) {
@@ -255,7 +269,7 @@
     const recorded = this.context.head().steps.incarnations.get(life.incarnation)
     const { leaving, ...description } = life
     if (this.startsToRevoke(report).length === 0) {
-      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation)
+      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced)
       if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
     }
     if (recorded !== undefined) this.submitCapacity(recorded, resourcesOf(life))
@@ -305,13 +319,16 @@
     this.submit({ kind: StepTransactionKind.ResizeIncarnation, at: this.context.now(), incarnation, capacity })
   }
 
-  private submitLoss (incarnation: string): void {
-    if (this.context.head().steps.incarnations.has(incarnation)) this.submit(this.lossTransaction(incarnation))
+  private submitLoss (incarnation: string, cause: IncarnationLossCause): void {
+    if (this.context.head().steps.incarnations.has(incarnation)) this.submit(this.lossTransaction(incarnation, cause))
   }
 
-  private lossTransaction (incarnation: string): StepTransaction {
+  private lossTransaction (incarnation: string, cause: IncarnationLossCause): StepTransaction {
+    const { aliveAt } = this.signsOfLife
+    const suspects = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now() }) : []
     this.context.log('worker-lost', {
       incarnation,
+      cause,
       silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)),
       runs: this.context.head().steps.incarnations.get(incarnation)?.runs.size ?? 0,
       term: this.context.term()
@@ -320,7 +337,10 @@
       kind: StepTransactionKind.LoseIncarnation,
       at: this.context.now(),
       incarnation,
-      checkpoints: this.progress.checkpointsOf(incarnation)
+      checkpoints: this.progress.checkpointsOf(incarnation),
+      cause,
+      aliveAt: aliveAt.get(incarnation),
+      suspects
     }
   }
 
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from 'node:events'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { Supervisors, type SupervisorCall } from '../src/control/supervisors'
-import { RunOutcome, StepTransactionKind, type State, type StepTransaction, type Transaction } from '../src/core/index'
+import { CrashEvidence, IncarnationLossCause, RunOutcome, StepTransactionKind, type State, type StepTransaction, type Transaction } from '../src/core/index'
 import { WorkerReport, type WorkerOrders } from '../src/wire'
 import { step, StepWorld, worker } from './steps-fixture'
 
@@ -233,6 +233,40 @@
   expect(await leader.report({ host, life: { ...second, labels: [] } })).toMatchObject({ incarnation: 'second@2', starts: [{ key }] })
 })
 
+test('a loss carries its cause, and gangs that had just started are suspected only of a crash that this leader saw happen', async () => {
+  const { host, ...life } = worker('a')
+  const next = { ...life, labels: [], incarnation: 'a@2' }
+  const neverStarted = { number: 0, key: { job: 'j', step: 0, task: 0, attempt: 1 }, outcome: RunOutcome.NotStarted }
+  const losses = (): object[] => leader.proposed.filter(({ kind }) => kind === StepTransactionKind.LoseIncarnation)
+  leader.world.submit('j', [step()])
+  await leader.report({ clock: 1_000 })
+  await vi.advanceTimersByTimeAsync(500)
+  await leader.report({ clock: 1_500 })
+  const aliveAt = Date.now()
+  leader.world.now = aliveAt
+  leader.world.start('j', 0, 0, ['a@1'])
+  await vi.advanceTimersByTimeAsync(3_000)
+  await leader.report({ clock: 1_500 })
+  await leader.report({ host, life: next, gone: ['a@1'], clock: 10, ends: [neverStarted] })
+  expect(losses()[0]).toMatchObject({ incarnation: 'a@1', cause: IncarnationLossCause.Replaced, aliveAt, suspects: [{ job: 'j', step: 0, gang: 0, attempt: 1, evidence: CrashEvidence.Alone }] })
+  leader.world.start('j', 0, 0, ['a@2'])
+  leader.supervisors.beginLeading()
+  await leader.report({ host, life: next, clock: 10 })
+  await leader.report({ host, life: undefined, gone: ['a@2'], clock: 0 })
+  expect(losses()[1]).toMatchObject({ incarnation: 'a@2', cause: IncarnationLossCause.Deregistered, suspects: [] })
+})
+
+test('after a change of leader a crash is no evidence until the worker was seen alive again', async () => {
+  const { host, ...life } = worker('a')
+  leader.world.submit('j', [step()])
+  leader.world.now = Date.now()
+  leader.world.start('j', 0, 0, ['a@1'])
+  await leader.report({ clock: 1_000 })
+  const neverStarted = { number: 0, key: { job: 'j', step: 0, task: 0, attempt: 1 }, outcome: RunOutcome.NotStarted }
+  await leader.report({ host, life: { ...life, labels: [], incarnation: 'a@2' }, clock: 10, ends: [neverStarted] })
+  expect(leader.proposed[0]).toMatchObject({ kind: StepTransactionKind.LoseIncarnation, cause: IncarnationLossCause.Replaced, suspects: [] })
+})
+
 test('a worker on which a run failed is suspect until a run is done there', async () => {
   leader.world.submit('j', [step({ tasks: 2 })])
   leader.world.start('j', 0, 0, ['a@1'])
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -2,7 +2,7 @@
 import { expect, test, vi } from 'vitest'
 import { RefusalLog } from '../src/client/refusal-log'
 import { DecisionLog, type DecisionLogContext } from '../src/control/decision-log'
-import { EffectKind, explainWaiting, RunOutcome, StepTransactionKind, WaitingReason, type FleetView } from '../src/core/index'
+import { CrashEvidence, EffectKind, explainWaiting, RunOutcome, StepTransactionKind, WaitingReason, type FleetView } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 function view (world: StepWorld, fields: Partial<FleetView> = {}): FleetView {
@@ -32,6 +32,24 @@
   expect(reasons(full)[1]).toBe(`normal ${WaitingReason.NoWorker}`)
 })
 
+test('a gang under which a worker crashed waits for a quiet worker, not for capacity', () => {
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('suspect', [step()])
+  world.start('suspect', 0, 0, ['b@1'])
+  world.crash('b@1', new Map([['a@1', world.now + 3_000], ['b@1', world.now]]))
+  expect(reasons(world)).toEqual([`suspect ${WaitingReason.CrashSuspect}`])
+})
+
+test('a crash just after the start of a gang is logged with its evidence and counted', () => {
+  const lines: object[] = []
+  const counted: string[] = []
+  const context = { term: () => 4, log: (event: string, fields: object) => { lines.push({ event, ...fields }) }, metrics: { countCrashSuspect: (evidence: string) => { counted.push(evidence) } } }
+  const suspected = { job: 'j', step: 0, gang: 0, attempt: 2, incarnation: 'a@1', evidence: CrashEvidence.BesideOthers, crashes: 1 }
+  DecisionLog.create(context as unknown as DecisionLogContext).logCrashSuspect({ kind: EffectKind.StepGangSuspected, ...suspected })
+  expect(lines).toEqual([{ event: 'crash-suspected', ...suspected, term: 4 }])
+  expect(counted).toEqual([CrashEvidence.BesideOthers])
+})
+
 test('a reason is logged once, again when it changes, and again when the step waits another time', () => {
   const world = StepWorld.create([worker('a')])
   const lines: string[] = []
