--- a/src/core/steps/crash-evidence.ts
+++ b/src/core/steps/crash-evidence.ts
@@ -16,7 +16,7 @@
 /** Crashes that end the job of a gang, not counting {@link CrashEvidence.WithRack}. */
 const MAX_CRASHES = 3
 /** Crashes that end the job of a gang, whatever their evidence. */
-const MAX_CRASHES_IN_ALL = 5
+const MAX_CRASHES_IN_ALL = 4
 
 /** What the crash of a worker says about a gang that had just started there. */
 export enum CrashEvidence {
--- a/test/step-crashes-history.test.ts
+++ b/test/step-crashes-history.test.ts
@@ -193,7 +193,7 @@
 
 /** Deadly tasks under which more workers crashed than the bound allows; a crash across a change of the leader may not count. */
 function crashedTooOften (world: CrashWorld): string[] {
-  const bound = 4 + world.leaders
+  const bound = 3 + world.leaders
   return [...world.deadlyCrashes].filter(([, crashes]) => crashes > bound).map(([task, crashes]) => `${task} crashed ${crashes} workers`)
 }
 
--- a/test/step-crashes.test.ts
+++ b/test/step-crashes.test.ts
@@ -120,7 +120,7 @@
   const world = StepWorld.create(fleet)
   world.submit('j', [step()])
   const states: StepJobState[] = []
-  for (let life = 1; life <= 5; life++) {
+  for (let life = 1; life <= 4; life++) {
     world.start('j', 0, 0, [`w0@${life}`])
     const lost = allAlive(world)
     world.now += 3_000
@@ -129,7 +129,7 @@
     world.apply({ kind: StepTransactionKind.AnnounceIncarnation, at: world.now, life: { ...worker('w0', { rack: 'r0' }), incarnation: `w0@${life + 1}` } })
     world.now += 60_000
   }
-  expect(states).toEqual([...Array.from({ length: 4 }, () => StepJobState.Running), StepJobState.Failed])
+  expect(states).toEqual([...Array.from({ length: 3 }, () => StepJobState.Running), StepJobState.Failed])
 })
 
 test('a gang that takes down all of its workers does not pass for a power loss, and counts once for each attempt', () => {
