Ignore a late deregistration of an earlier incarnation of the same name

Cause: a deregistration was matched by the worker's name alone. A late one of an earlier incarnation would end the present one, whose runs would start elsewhere while they go on.

Change: the start of the incarnation in the call is compared with that of the present one.

Measured: npx vitest run test/supervisor.test: the new test fails on the sources before (20 passed), 21 pass after.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -161,12 +161,14 @@
   }
 
   /**
-   * Handles the deregistration of the worker, which ends its incarnation.
+   * Handles the deregistration of the worker, which ends its incarnation. A late one of an earlier incarnation of the same
+   * name is ignored.
    * @param worker - the name of the worker
+   * @param startedAt - start of the incarnation, in milliseconds since the epoch; undefined where it is not stated
    */
-  handleDeregistration (worker: string): void {
+  handleDeregistration (worker: string, startedAt?: number): void {
     const { current } = this
-    if (current?.heartbeat.worker !== worker) return
+    if (current?.heartbeat.worker !== worker || (startedAt ?? current.heartbeat.startedAt) !== current.heartbeat.startedAt) return
     this.options.log('worker-left', { incarnation: current.heartbeat.incarnation })
     this.current = undefined
     this.endIncarnations([...current.predecessors, current.heartbeat.incarnation])
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -127,6 +127,17 @@
   expect(fixture.worker.calls.filter((call) => call.startsWith('start j'))).toEqual([])
 })
 
+test('a deregistration ends the incarnation that it states, and not a later one of the same name', async () => {
+  fixture.supervisor.handleDeregistration('w', heartbeat.startedAt - 1)
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, sequence: 2 })
+  const { length } = fixture.reports
+  await until(() => fixture.reports.length > length + 1)
+  expect(fixture.lastReport).toMatchObject({ life: { incarnation: 'w@5' }, gone: [] })
+  fixture.supervisor.handleDeregistration('w', heartbeat.startedAt)
+  await until(() => fixture.lastReport?.gone.includes('w@5') === true)
+  expect(fixture.lastReport?.life).toBeUndefined()
+})
+
 test('a leaving worker gets no start, even one that control has already ordered', async () => {
   fixture.supervisor.handleHeartbeat({ ...heartbeat, leaving: true, sequence: 2 })
   fixture.standingOrders = { starts: [{ key, payload: 'text', checkpoint: '' }] }
