Do not send a lease on one incarnation's clock to the next one

Cause: the answer to a report grants a lease on the clock in that report, but was addressed to the incarnation that the stream reports now. Where the worker restarted between report and answer, the new incarnation got an end of the lease on the old clock, which the agent never lowers: each poll renewed the lease without the leader. A partition could then make the leader count the worker as lost while its runs went on.

Change: the answer is dropped where the stream reports another incarnation by now; that report has an answer of its own.

Measured: npx vitest run test/supervisors: the new test fails before (24 passed), 25 pass after.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -389,7 +389,8 @@
   }
 
   private answer ({ supervisor, sequence, incarnation, clock, receivedAt }: PendingReport): void {
-    if (this.byCall.get(supervisor.call) !== supervisor) return
+    // The answer to the report of an earlier incarnation would grant the present one a lease on another clock.
+    if (this.byCall.get(supervisor.call) !== supervisor || supervisor.incarnation !== incarnation) return
     const { leaseMilliseconds } = this.context
     const leaseUntil = this.commandedIncarnation(incarnation) !== undefined && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
     if (leaseUntil > 0) this.leaseExpiresAt.set(incarnation, Math.max(this.leaseExpiresAt.get(incarnation) ?? 0, receivedAt + this.maxLeaseMilliseconds))
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -128,6 +128,20 @@
   expect(leader.orders.at(-1)).toMatchObject({ sequence: 2, leaseUntil: 0, starts: [] })
 })
 
+test('a lease that is granted on the clock of one incarnation is not sent to the next one on the same stream', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  const { host, ...next } = worker('a', { incarnation: 'a@2' })
+  leader.holdConfirmations = true
+  await leader.report({ sequence: 1, clock: 30_000 })
+  await leader.report({ sequence: 2, clock: 500, host, life: { ...next, labels: [] } })
+  leader.confirmations.shift()?.()
+  await vi.advanceTimersByTimeAsync(0)
+  leader.confirmations.shift()?.()
+  await vi.advanceTimersByTimeAsync(0)
+  expect(leader.orders.map(({ sequence, incarnation, leaseUntil }) => ({ sequence, incarnation, leaseUntil }))).toEqual([{ sequence: 2, incarnation: 'a@2', leaseUntil: 0 }])
+})
+
 test('a worker that returns while its loss is being committed gets neither a lease nor starts before it is registered again', async () => {
   await leader.report()
   leader.world.submit('j', [step()])
