Give no lease and no starts from the moment a loss is submitted

Cause: a loss is queued, and is in the head only after the next batch. A confirmation of leadership that arrives between still granted a lease and sent starts, and the loss was applied all the same.

Change: the leader remembers the registration whose loss it has submitted.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -88,6 +88,8 @@
   private readonly signsOfLife = SignsOfLifeTracker.create()
   private readonly trust = SuspectTracker.create()
   private readonly checkpointSelector = CheckpointSelector.create()
+  /** When the registration was made whose loss was submitted last, by incarnation. */
+  private readonly submittedLosses = new Map<string, number | undefined>()
   /** Names of the runs that the last report listed as running although the log does not assign them, by incarnation. */
   private readonly unassignedRuns = new Map<string, readonly string[]>()
   private pendingReports: PendingReport[] = []
@@ -114,6 +116,7 @@
     this.trust.clear()
     this.unassignedRuns.clear()
     this.signsOfLife.clear()
+    this.submittedLosses.clear()
   }
 
   /** Ends all streams and refers the agents to the next leader. */
@@ -175,6 +178,7 @@
 
   private forgetLost (): void {
     const { incarnations } = this.context.head().steps
+    for (const incarnation of this.submittedLosses.keys()) if (!this.isLossSubmitted(incarnations.get(incarnation))) this.submittedLosses.delete(incarnation)
     for (const incarnation of [...this.leaseExpiresAt.keys(), ...this.lastReportAt.keys()]) {
       if (incarnations.has(incarnation) || this.byIncarnation.has(incarnation)) continue
       this.leaseExpiresAt.delete(incarnation)
@@ -325,6 +329,7 @@
 
   private lossTransaction (incarnation: string, cause: IncarnationLossCause): StepTransaction {
     const { aliveAt } = this.signsOfLife
+    this.submittedLosses.set(incarnation, this.context.head().steps.incarnations.get(incarnation)?.registeredAt)
     const suspects = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now() }) : []
     this.context.log('worker-lost', {
       incarnation,
@@ -392,7 +397,7 @@
     // The answer to the report of an earlier incarnation would grant the present one a lease on another clock.
     if (this.byCall.get(supervisor.call) !== supervisor || supervisor.incarnation !== incarnation) return
     const { leaseMilliseconds } = this.context
-    const leaseUntil = this.commandedIncarnation(incarnation) !== undefined && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
+    const leaseUntil = this.incarnationToCommand(incarnation) !== undefined && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
     if (leaseUntil > 0) this.leaseExpiresAt.set(incarnation, Math.max(this.leaseExpiresAt.get(incarnation) ?? 0, receivedAt + this.maxLeaseMilliseconds))
     this.sendOrders(supervisor, { sequence, leaseUntil }, this.listedRuns(incarnation))
   }
@@ -408,7 +413,7 @@
   private sendOrders (supervisor: Supervisor, { sequence, leaseUntil }: Pick<wire.WorkerOrders, 'sequence' | 'leaseUntil'>, listed: ReadonlySet<string>): void {
     const { steps } = this.context.committed()
     const life = steps.incarnations.get(supervisor.incarnation)
-    const commanded = this.commandedIncarnation(supervisor.incarnation)
+    const commanded = this.incarnationToCommand(supervisor.incarnation)
     const report = this.lastReports.get(supervisor)
     const orders = wire.WorkerOrders.fromPartial({
       term: this.context.term(),
@@ -425,13 +430,17 @@
   }
 
   /**
-   * The committed incarnation, unless its loss has been proposed since: its runs are then already started elsewhere, so that
-   * it gets neither a lease nor starts until it is registered again.
+   * The committed incarnation, unless its loss has been submitted since: its runs may then already be started elsewhere, so
+   * that it gets neither a lease nor starts until it is registered again.
    */
-  private commandedIncarnation (incarnation: string): WorkerIncarnation | undefined {
+  private incarnationToCommand (incarnation: string): WorkerIncarnation | undefined {
     const committed = this.context.committed().steps.incarnations.get(incarnation)
     const head = this.context.head().steps.incarnations.get(incarnation)
-    return head !== undefined && head.registeredAt === committed?.registeredAt ? committed : undefined
+    return head !== undefined && head.registeredAt === committed?.registeredAt && !this.isLossSubmitted(head) ? committed : undefined
+  }
+
+  private isLossSubmitted (worker: WorkerIncarnation | undefined): boolean {
+    return worker !== undefined && this.submittedLosses.has(worker.incarnation) && this.submittedLosses.get(worker.incarnation) === worker.registeredAt
   }
 
   private startOrders (life: WorkerIncarnation, listed: ReadonlySet<string>): wire.StartOrder[] {
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -142,6 +142,18 @@
   expect(leader.orders.map(({ sequence, incarnation, leaseUntil }) => ({ sequence, incarnation, leaseUntil }))).toEqual([{ sequence: 2, incarnation: 'a@2', leaseUntil: 0 }])
 })
 
+test('a worker whose loss is submitted, but not yet applied to the head, gets neither a lease nor starts', async () => {
+  await leader.report()
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  await vi.advanceTimersByTimeAsync(LEASE * 1.2)
+  const losses = leader.supervisors.expiredLeases()
+  expect(await leader.report({ sequence: 2 })).toMatchObject({ sequence: 2, leaseUntil: 0, starts: [] })
+  leader.world.applyAll(losses)
+  await leader.report({ sequence: 3 })
+  expect(await leader.report({ sequence: 4, clock: 9_000 })).toMatchObject({ sequence: 4, leaseUntil: 9_000 + LEASE })
+})
+
 test('a worker that returns while its loss is being committed gets neither a lease nor starts before it is registered again', async () => {
   await leader.report()
   leader.world.submit('j', [step()])
