Ignore streams that ended with an earlier leadership

Cause: delayed data of a stream that a leader had ended could register that stream again once the host led again, and end the agent's present one.

Change: such streams are no longer read, and the last reports are dropped with them.

Measured: npx vitest run test/supervisors: the new test fails before (26 passed), 27 pass after.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -74,8 +74,8 @@
 /** The leader's end of all streams of supervising agents. */
 export class Supervisors {
   private readonly byCall = new Map<SupervisorCall, Supervisor>()
-  /** Streams that another one of the same agent has replaced. */
-  private readonly replacedCalls = new WeakSet<SupervisorCall>()
+  /** Streams that another one of the same agent has replaced, or that ended with an earlier leadership. */
+  private readonly endedCalls = new WeakSet<SupervisorCall>()
   private readonly byHost = new Map<string, Supervisor>()
   private readonly byIncarnation = new Map<string, Supervisor>()
   /** Monotonic milliseconds, by incarnation. */
@@ -121,7 +121,11 @@
 
   /** Ends all streams and refers the agents to the next leader. */
   endLeading (leader: string | undefined): void {
-    for (const call of this.byCall.keys()) refuseNotLeader(call, leader)
+    for (const call of this.byCall.keys()) {
+      refuseNotLeader(call, leader)
+      this.endedCalls.add(call)
+    }
+    this.lastReports.clear()
     this.byCall.clear()
     this.byHost.clear()
     this.byIncarnation.clear()
@@ -219,7 +223,7 @@
   }
 
   private handleReport (call: SupervisorCall, report: wire.WorkerReport): void {
-    if (this.replacedCalls.has(call)) return
+    if (this.endedCalls.has(call)) return
     if (this.isOutdated(report)) { this.context.log('report-outdated', { host: report.host, incarnation: report.life?.incarnation }); call.end(); return }
     const supervisor = this.register(call, report)
     this.recordSignOfLife(supervisor.incarnation, report.clock)
@@ -246,7 +250,7 @@
     let supervisor = this.byCall.get(call)
     if (supervisor === undefined) {
       const previous = this.byHost.get(host)
-      if (previous !== undefined) { this.removeStream(previous.call); this.replacedCalls.add(previous.call); previous.call.end() }
+      if (previous !== undefined) { this.removeStream(previous.call); this.endedCalls.add(previous.call); previous.call.end() }
       supervisor = { call, host, incarnation: '' }
       this.byCall.set(call, supervisor)
       this.byHost.set(host, supervisor)
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -142,6 +142,22 @@
   expect(leader.orders.map(({ sequence, incarnation, leaseUntil }) => ({ sequence, incarnation, leaseUntil }))).toEqual([{ sequence: 2, incarnation: 'a@2', leaseUntil: 0 }])
 })
 
+test('a delayed report on a stream that ended with an earlier leadership is ignored', async () => {
+  const ended = leader.call
+  await leader.report()
+  leader.supervisors.endLeading(undefined)
+  leader.supervisors.beginLeading()
+  leader.call = leader.attach()
+  await leader.report({ sequence: 2 })
+  const current = leader.call
+  leader.call = ended
+  const orders = leader.orders.length
+  await leader.report({ sequence: 3 })
+  expect(leader.orders).toHaveLength(orders)
+  leader.call = current
+  expect(await leader.report({ sequence: 4 })).toMatchObject({ sequence: 4 })
+})
+
 test('a worker whose loss is submitted, but not yet applied to the head, gets neither a lease nor starts', async () => {
   await leader.report()
   leader.world.submit('j', [step()])
