Look up the other incarnations of a host once for each state instead of scanning the fleet in each use

The index by host is kept until the incarnations change. Whether a report is of a successor is a lookup by name. The condition under which an incarnation becomes reportable is written without a default. Behaviour is unchanged: 66 tests of supervisor, supervisors and supervision-scenarios pass; the saving was not measured.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -223,8 +223,8 @@
   /** Makes an incarnation reportable once the worker's lists show that no start for an earlier incarnation runs or can still run. */
   private updateReportable (tracked: TrackedIncarnation): void {
     if (tracked.reportable) return
-    const unsettled = [...tracked.toRevoke].some((name) => (tracked.table.runs.get(name)?.phase ?? RunPhase.NotStarted) !== RunPhase.NotStarted)
-    if (unsettled) return
+    const unsettled = [...tracked.table.runs].filter(([name, { phase }]) => tracked.toRevoke.has(name) && phase !== RunPhase.NotStarted)
+    if (unsettled.length > 0) return
     for (const [name, { key }] of tracked.table.runs) if (tracked.toRevoke.has(name)) this.removeRun(tracked, key)
     tracked.reportable = true
     this.endIncarnations(tracked.predecessors)
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -92,6 +92,8 @@
   private readonly submittedLosses = new Map<string, number | undefined>()
   /** Names of the runs that the last report listed as running although the log does not assign them, by incarnation. */
   private readonly unassignedRuns = new Map<string, readonly string[]>()
+  /** The incarnations of the head by host, for the map of incarnations that it was made from. */
+  private hostIndex?: { readonly incarnations: State['steps']['incarnations'], readonly byHost: ReadonlyMap<string, readonly WorkerIncarnation[]> }
   private pendingReports: PendingReport[] = []
   private confirming = false
   private leadingSince = performance.now()
@@ -291,12 +293,27 @@
   }
 
   private otherIncarnations (host: string, { incarnation }: wire.WorkerLife): WorkerIncarnation[] {
-    return [...this.context.head().steps.incarnations.values()].filter((other) => other.host === host && other.incarnation !== incarnation)
+    return (this.incarnationsByHost().get(host) ?? []).filter((other) => other.incarnation !== incarnation)
   }
 
-  /** Whether the report is of a later incarnation of the same worker; the earlier one is then lost once its starts are revoked. */
+  /** Kept until the incarnations change, since each report asks for it several times. */
+  private incarnationsByHost (): ReadonlyMap<string, readonly WorkerIncarnation[]> {
+    const { incarnations } = this.context.head().steps
+    if (this.hostIndex?.incarnations === incarnations) return this.hostIndex.byHost
+    const byHost = new Map<string, WorkerIncarnation[]>()
+    for (const worker of incarnations.values()) {
+      const known = byHost.get(worker.host)
+      if (known === undefined) byHost.set(worker.host, [worker])
+      else known.push(worker)
+    }
+    this.hostIndex = { incarnations, byHost }
+    return byHost
+  }
+
+  /** Whether the report is of a later incarnation of the same worker. The earlier one is then lost once its starts are revoked. */
   private isSucceededBy (incarnation: string, { host, life }: wire.WorkerReport): boolean {
-    return life !== undefined && this.otherIncarnations(host, life).some((other) => other.incarnation === incarnation && other.worker === life.worker)
+    const earlier = this.context.head().steps.incarnations.get(incarnation)
+    return life !== undefined && incarnation !== life.incarnation && earlier?.host === host && earlier.worker === life.worker
   }
 
   /**
