--- a/review/shared/deployment.mjs
+++ b/review/shared/deployment.mjs
@@ -143,14 +143,20 @@
     return child
   }
 
+  /** Starts a front before the worker of a worker host, which carries the first start out late. */
+  startFront (number, lateMilliseconds) {
+    const options = { address: `${this.ip(number)}:${WORKER_PORT}`, worker: `${this.ip(number)}:${WORKER_PORT + 1}`, lateMilliseconds }
+    this.start(`front-${number}`, ['node', join(repository, 'review/shared/front.mjs'), JSON.stringify(options)], {})
+  }
+
   /** Founds the system and waits until it serves: control hosts 1 to 3, entry hosts 4 and 5, worker hosts from 11 on. */
-  async found ({ workers, ...config }) {
+  async found ({ workers, startWorkerHost = (number) => { this.startAgent(number); this.startWorker(number) }, ...config }) {
     this.workers = Array.from({ length: workers }, (_, position) => 11 + position)
     this.seeds = [1, 2, 3].map((number) => `${this.ip(number)}:${CONTROL_PORT}`)
     this.founding = true
     for (const number of [1, 2, 3]) this.startControl(number)
     for (const number of [4, 5]) this.startEntry(number)
-    for (const number of this.workers) { this.startAgent(number); this.startWorker(number) }
+    for (const number of this.workers) startWorkerHost(number)
     this.founding = false
     await this.configure(config)
   }
--- a/review/shared/rules.mjs
+++ b/review/shared/rules.mjs
@@ -63,3 +63,23 @@
   const broken = [...starts.keys()].filter((task) => noted.has(task) && !done.get(task).lapsed)
   return broken.length === 0 ? undefined : `TWICE: ${broken.length} subtasks were started again after a run of them had ended done and its end was taken note of, the first is ${broken[0]}`
 }
+
+/**
+ * Counts the crashes of workers while a run of a job was on them.
+ * @param {import('./deployment.mjs').Deployment} deployment the deployment
+ * @param {string} identifier the job
+ * @returns {number} their number
+ */
+export function crashesUnder (deployment, identifier) {
+  const running = new Map()
+  let crashes = 0
+  for (const { event, worker, task, attempt } of deployment.events()) {
+    if (event === 'started' && task.startsWith(`${identifier}.`)) running.set(`${task} ${attempt}`, worker)
+    if (event === 'ended') running.delete(`${task} ${attempt}`)
+    if (event !== 'crashed') continue
+    const under = [...running].filter(([, host]) => host === worker)
+    if (under.length > 0) crashes += 1
+    for (const [run] of under) running.delete(run)
+  }
+  return crashes
+}
--- a/review/shared/worker.mjs
+++ b/review/shared/worker.mjs
@@ -100,9 +100,11 @@
   answer(status, body)
 }
 
-const separator = address.lastIndexOf(':')
-createServer((incoming, outgoing) => { respond(incoming, outgoing).catch(() => { outgoing.destroy() }) }).listen(Number(address.slice(separator + 1)), address.slice(0, separator))
+const listen = options.listen ?? address
+const separator = listen.lastIndexOf(':')
+createServer((incoming, outgoing) => { respond(incoming, outgoing).catch(() => { outgoing.destroy() }) }).listen(Number(listen.slice(separator + 1)), listen.slice(0, separator))
 note({ event: 'born', name })
+await sleep(options.firstHeartbeatMilliseconds ?? 0)
 
 for (;;) {
   sequence += 1
