--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,38 +1,41 @@
-/** One of eight workers goes down and up by turns while the others are busy. */
+/** All processes of the core are killed and come back after a while, while more than 500 subtasks end on one worker. */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { bounds, runCase } from '../shared/deployment.mjs'
+import { runCase } from '../shared/deployment.mjs'
+import { startedTwice } from '../shared/rules.mjs'
 
-/** The largest dose in the site files: period 1.4 s, for 6.5 s; a share of 0.125 of the workers. */
-const PERIOD_MILLISECONDS = 1_400
-const FLAPPING_MILLISECONDS = 6_500
-
-const job = (ms, gpu) => ({ spec: JSON.stringify({ ms }), phases: [{ count: 1, cpu: 1_000, mem_mb: 256, gpu, estimate_ms: ms }] })
+const JOBS = 12
+/** Subtasks of each job; all of them fit one worker of 32 cores at the same time. */
+const SUBTASKS = 55
+const PROCESSORS_THOUSANDTHS = 45
+const MEMORY_MEGABYTES = 64
+const SUBMIT_GAP_MILLISECONDS = 400
+/** From the first submission until the subtasks of the first job end. */
+const FIRST_END_MILLISECONDS = 10_000
+/** Time between the ends of two jobs: the ends are spread over two seconds. */
+const END_GAP_MILLISECONDS = 180
+const DOWN_MILLISECONDS = 2_500
+/** Ends that a worker lists at a time. */
+const LISTED_ENDS = 500
 
 await runCase(import.meta.dirname, async (deployment, trouble) => {
-  await deployment.found({ workers: 8 })
-  for (let number = 0; number < 7; number++) await deployment.submit(`/photo/00000000000000b${number}`, job(60_000, 8))
-  const busy = await deployment.until(15_000, () => {
-    const starts = deployment.events().filter(({ event }) => event === 'started')
-    return starts.length === 7 ? new Set(starts.map(({ worker }) => worker)) : undefined
-  })
-  if (busy === undefined) throw new Error('the workers did not become busy')
-  const flapping = deployment.workers.find((number) => !busy.has(number))
-  const path = '/photo/00000000000000a1'
-  const flap = async () => {
-    for (const end = performance.now() + FLAPPING_MILLISECONDS; performance.now() < end;) {
-      await deployment.signal(`worker-${flapping}`, 'SIGKILL')
-      await sleep(PERIOD_MILLISECONDS / 2)
-      deployment.startWorker(flapping)
-      await sleep(PERIOD_MILLISECONDS / 2)
-    }
+  await deployment.found({ workers: 2 })
+  const first = Date.now()
+  const paths = Array.from({ length: JOBS }, (_, number) => `/pack/00000000000000${(0xa0 + number).toString(16)}`)
+  for (const [number, path] of paths.entries()) {
+    await sleep(Math.max(0, first + number * SUBMIT_GAP_MILLISECONDS - Date.now()))
+    const ms = first + FIRST_END_MILLISECONDS + number * END_GAP_MILLISECONDS - Date.now()
+    await deployment.submit(path, { spec: JSON.stringify({ ms }), phases: [{ count: SUBTASKS, cpu: PROCESSORS_THOUSANDTHS, mem_mb: MEMORY_MEGABYTES, estimate_ms: ms }] })
+  }
+  await sleep(Math.max(0, first + FIRST_END_MILLISECONDS - 300 - Date.now()))
+  const runs = deployment.events().filter(({ event }) => event === 'started' || event === 'ended')
+  const byWorker = deployment.workers.map((number) => runs.reduce((sum, { event, worker }) => worker === number ? sum + (event === 'started' ? 1 : -1) : sum, 0))
+  deployment.note('subtasks that run on each worker:', ...byWorker)
+  if (Math.max(...byWorker) <= LISTED_ENDS) throw new Error(`no worker runs more than ${LISTED_ENDS} subtasks: ${byWorker}`)
+  if (trouble) {
+    for (const number of [1, 2, 3]) await deployment.signal(`control-${number}`, 'SIGKILL')
+    await sleep(DOWN_MILLISECONDS)
+    for (const number of [1, 2, 3]) deployment.startControl(number)
   }
-  await Promise.all([trouble ? flap() : undefined, sleep(100).then(async () => { await deployment.submit(path, job(3_000, 4)) })])
-  const state = await deployment.until(30_000 + bounds.finish_s * 1_000, async () => {
-    const shown = await deployment.state(path)
-    await sleep(900)
-    return ['completed', 'failed', 'cancelled'].includes(shown) ? shown : undefined
-  })
-  const failures = deployment.events().filter(({ event, task, how }) => event === 'ended' && task.startsWith('00000000000000a1.') && how === 'failed')
-  if (state === 'failed' && failures.length === 0) return 'LOST: the job is shown as failed, and no run of it has ended failed'
-  return state === 'completed' ? undefined : `LOST: the job is shown as ${state}`
+  for (const path of paths) await deployment.until(30_000, async () => await deployment.state(path) === 'completed')
+  return startedTwice(deployment)
 })
