Record the end of a run that a restarted worker executed for its predecessor

Cause: to the leader any listed end of the run showed that the successor does not run it. It then recorded the predecessor as lost, the run with it, and ignored the end itself, which the log assigns to the predecessor; but it acknowledged that end to the worker. A failed end was lost in the same way, so that the attempt was not counted.

Change: before the loss, the leader records the ends that the successor lists for runs of its predecessors, as ends of the incarnation that they are assigned to. "Not started" is not taken over, as it speaks of the successor only.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -230,6 +230,7 @@
     const supervisor = this.register(call, report)
     this.recordSignOfLife(supervisor.incarnation, report.clock)
     const { life } = report
+    this.submitEndsAtSuccessor(report)
     const cause = life === undefined ? IncarnationLossCause.Deregistered : IncarnationLossCause.Replaced
     for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause)
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
@@ -329,6 +330,24 @@
       .filter((key) => !settled.has(runName(key)))
   }
 
+  /**
+   * Records the ends of runs that the log assigns to earlier incarnations of the reported worker, and which the present one
+   * executed. Must precede the loss of the earlier ones, which ends their runs as lost.
+   */
+  private submitEndsAtSuccessor ({ host, life, ends }: wire.WorkerReport): void {
+    if (life === undefined) return
+    for (const { incarnation, worker, runs } of this.otherIncarnations(host, life)) {
+      if (worker !== life.worker) continue
+      // That a run never starts at the present one says nothing about the earlier one. Numbers are of the present one.
+      const executed = ends.flatMap(({ number, key, outcome, checkpoint }): RunEnd[] => {
+        return key === undefined || number === 0 || !runs.has(runName(key)) ? [] : [{ number: 0, key, outcome: outcome as RunOutcome, checkpoint }]
+      })
+      if (executed.length === 0) continue
+      this.context.log('runs-ended-at-successor', { incarnation, successor: life.incarnation, runs: executed.slice(0, MAX_LOGGED_RUNS).map(({ key, outcome }) => `${runName(key)} ${outcome}`), count: executed.length, term: this.context.term() })
+      this.submit({ kind: StepTransactionKind.EndRuns, at: this.context.now(), incarnation, ends: executed })
+    }
+  }
+
   /** A new incarnation is not lost before a full lease has passed, so that it can obtain its first lease. */
   private submitAnnouncement (life: IncarnationDescription): void {
     const { incarnation, host, worker } = life
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -1,5 +1,6 @@
 /** Scripted faults of the supervision: each test names the events after which a worker must not be overloaded, or a task run twice. */
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { StepJobState } from '../src/core/index'
 import { normalFate, Simulation, type Fate, type Site, type WorkerCall } from './supervision-simulation'
 import type { JobPlan } from './supervision-worker'
 
@@ -167,6 +168,28 @@
   expect(simulation.report).toBe('')
 })
 
+test('a short task that ran to its end on a worker that had restarted under its name unnoticed does not run again', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  site.heartbeatDelay = 400
+  restartWorker(site)
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 200 })
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  await simulation.run(3_000)
+  expect(simulation.report).toBe('')
+  expect(simulation.platform.starts).toBe(1)
+})
+
+test('a failed run on a worker that had restarted under its name unnoticed counts as a failure', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  site.heartbeatDelay = 400
+  restartWorker(site)
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 400, fails: true })
+  await simulation.until('the second attempt starts', () => running(simulation, 'a', 'x.0.0.2'))
+  expect(simulation.state.steps.jobs.get('x')?.gangs[0]?.[0]?.failures).toBe(1)
+})
+
 test('a report of an earlier incarnation that was held up on an older stream does not free the capacity of the current one', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
