Do not hold the crash of a worker against a task whose start never reached it

One real crash later the job was given up.

Cause: the leader judges by its log, where the run is assigned to the worker from the decision on. Only the agent knows whether the start arrived.

Change: with the report of a new incarnation, the agent states for each earlier one which runs may have begun there: listed by it, or with a start sent that was not provably undelivered. The leader suspects only these. The field of the report is new; the log entry is unchanged.

Of the two new tests of supervision-scenarios, "the crash of a worker before the start of a task was sent to it does not count" fails without the change (the job is given up before its third attempt); the other holds that an unanswered start counts.

--- a/src/agent/run-table.ts
+++ b/src/agent/run-table.ts
@@ -20,6 +20,8 @@
   readonly phase: RunPhase
   /** The worker lists the run as running. */
   readonly listed: boolean
+  /** The worker has listed the run, or a start of it may have reached the worker. */
+  readonly begun: boolean
   readonly percent: number
   readonly checkpoint: string
 }
@@ -44,7 +46,7 @@
  */
 export function addRun (table: RunTable, key: RunKey, phase: RunPhase): RunTable {
   if (table.runs.has(runName(key)) || hasEnd(table, key)) return table
-  return withRun(table, { key, phase, listed: false, percent: 0, checkpoint: '' })
+  return withRun(table, { key, phase, listed: false, begun: false, percent: 0, checkpoint: '' })
 }
 
 /**
@@ -88,11 +90,11 @@
   for (const [name, run] of table.runs) {
     const listedRun = listed.get(name)
     if (ended.has(name)) continue
-    if (listedRun !== undefined) runs.set(name, { ...run, ...listedRun, listed: true, phase: phaseOfListedRun(run) })
+    if (listedRun !== undefined) runs.set(name, { ...run, ...listedRun, listed: true, begun: true, phase: phaseOfListedRun(run) })
     else runs.set(name, updateUnlistedRun(run, confirmedStops.has(name)))
   }
   for (const [name, listedRun] of listed) {
-    if (!runs.has(name)) runs.set(name, { ...listedRun, phase: RunPhase.Running, listed: true })
+    if (!runs.has(name)) runs.set(name, { ...listedRun, phase: RunPhase.Running, listed: true, begun: true })
   }
   return { ...table, runs, ends }
 }
--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -7,7 +7,7 @@
 import type { Resources } from '../core/steps/model'
 import { fitsInto, resourcesOf, sameResources } from '../core/steps/resources'
 import { runName, type RunKey } from '../core/steps/run'
-import { WorkerReport, type StartOrder, type WorkerOrders } from '../wire'
+import { WorkerReport, type PredecessorRuns, type StartOrder, type WorkerOrders } from '../wire'
 import { acknowledge, addRun, applyRunLists, emptyRunTable, endsToReport, removeRun, RunPhase, updateRun, type RunTable, type TrackedRun } from './run-table'
 import { ControlStream, type StreamProtocol } from './control-stream'
 import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type WorkerApi, type WorkerHeartbeat } from './worker-api'
@@ -71,6 +71,8 @@
   readonly toRevoke: ReadonlySet<string>
   /** Earlier incarnations, which are reported as gone together with the first report of this one. */
   readonly predecessors: readonly string[]
+  /** What had begun in those whose runs this agent has listed, until control has recorded their loss. */
+  predecessorRuns: readonly PredecessorRuns[]
   /** The worker has listed its runs, and the starts for earlier incarnations are revoked. */
   reportable: boolean
   /**
@@ -203,6 +205,7 @@
       polledAcknowledged: -1,
       toRevoke: new Set(unanswered.map(runName)),
       predecessors: current === undefined ? [] : [...current.predecessors, current.heartbeat.incarnation],
+      predecessorRuns: current === undefined ? [] : [...current.predecessorRuns, ...begunRunsOf(current)],
       reportable: false,
       verified: false
     }
@@ -255,7 +258,8 @@
       clock: current.clock,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
       ends: endsToReport(current.table),
-      gone
+      gone,
+      predecessors: [...current.predecessorRuns]
     })
   }
 
@@ -269,6 +273,7 @@
     const { current } = this
     if (current?.reportable !== true || orders.incarnation !== current.heartbeat.incarnation) return
     current.leaseUntil = Math.max(current.leaseUntil, orders.leaseUntil)
+    if (orders.leaseUntil > 0) current.predecessorRuns = []
     current.used = orders.used
     current.table = acknowledge(current.table, orders.acknowledged)
     for (const order of orders.starts) this.acceptStart(current, order)
@@ -311,9 +316,12 @@
         continue
       }
       const { payload, checkpoint } = order
+      const begun = tracked.table.runs.get(name)?.begun === true
+      tracked.table = updateRun(tracked.table, key, { begun: true })
       const answer = await this.options.worker.start(this.context(tracked), { key, payload, checkpoint, leaseUntil: tracked.leaseUntil })
       if (answer.outcome === OrderOutcome.Unknown) this.recordUnansweredStart(tracked, key)
       if (this.current !== tracked) return
+      if (undeliveredOutcomes.has(answer.outcome)) tracked.table = updateRun(tracked.table, key, { begun })
       this.handleAnswer(tracked, answer)
       if (this.isStartSettled(tracked, key, answer)) return
       await pause(RETRY_MILLISECONDS)
@@ -432,6 +440,15 @@
 /** Outcomes after which the worker may have restarted. */
 const unansweredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
 
+/** Outcomes after which the order has not reached the incarnation. */
+const undeliveredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
+
+/** Nothing is stated of an incarnation whose runs this agent has not listed: an earlier process of the agent may have sent it starts. */
+function begunRunsOf ({ heartbeat, reportable, table }: TrackedIncarnation): PredecessorRuns[] {
+  if (!reportable) return []
+  return [{ incarnation: heartbeat.incarnation, begun: [...table.runs.values()].flatMap(({ key, begun }) => begun ? [key] : []) }]
+}
+
 /** Whether the runs that control has assigned to the worker no longer fit it all together. */
 function isOverfull ({ capacity, used }: TrackedIncarnation): boolean {
   return used !== undefined && !fitsInto(capacity, used)
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -232,7 +232,7 @@
     const { life } = report
     this.submitEndsAtSuccessor(report)
     const cause = life === undefined ? IncarnationLossCause.Deregistered : IncarnationLossCause.Replaced
-    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause)
+    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause, report)
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
@@ -280,7 +280,7 @@
     const recorded = this.context.head().steps.incarnations.get(life.incarnation)
     const { leaving, ...description } = life
     if (this.startsToRevoke(report).length === 0) {
-      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced)
+      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced, report)
       if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
     }
     if (recorded !== undefined) this.submitCapacity(recorded, resourcesOf(life))
@@ -363,19 +363,23 @@
     this.submit({ kind: StepTransactionKind.ResizeIncarnation, at: this.context.now(), incarnation, capacity })
   }
 
-  private submitLoss (incarnation: string, cause: IncarnationLossCause): void {
-    if (this.context.head().steps.incarnations.has(incarnation)) this.submit(this.lossTransaction(incarnation, cause))
+  private submitLoss (incarnation: string, cause: IncarnationLossCause, { predecessors }: wire.WorkerReport): void {
+    if (!this.context.head().steps.incarnations.has(incarnation)) return
+    const known = predecessors.find((predecessor) => predecessor.incarnation === incarnation)
+    this.submit(this.lossTransaction(incarnation, cause, known === undefined ? undefined : new Set(known.begun.map(runName))))
   }
 
-  private lossTransaction (incarnation: string, cause: IncarnationLossCause): StepTransaction {
+  /** `begun` are the names of the runs that may have begun there; undefined where that is not known. */
+  private lossTransaction (incarnation: string, cause: IncarnationLossCause, begun?: ReadonlySet<string>): StepTransaction {
     const { aliveAt } = this.signsOfLife
     this.submittedLosses.set(incarnation, this.context.head().steps.incarnations.get(incarnation)?.registeredAt)
-    const suspects = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now() }) : []
+    const suspects = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now(), begun }) : []
     this.context.log('worker-lost', {
       incarnation,
       cause,
       silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)),
       runs: this.context.head().steps.incarnations.get(incarnation)?.runs.size ?? 0,
+      begun: begun?.size,
       term: this.context.term()
     })
     return {
--- a/src/core/steps/crash-evidence.ts
+++ b/src/core/steps/crash-evidence.ts
@@ -42,12 +42,14 @@
   readonly evidence: CrashEvidence
 }
 
-/** When the leader last saw each worker alive. */
+/** What the leader knows of a crash: when it last saw each worker alive, and what had begun on the crashed one. */
 export interface SignsOfLife {
   /** Milliseconds since the epoch, by incarnation; absent for those that this leader has not seen alive. */
   readonly aliveAt: ReadonlyMap<string, number>
   /** Milliseconds since the epoch. */
   readonly now: number
+  /** Names of the runs that may have begun in the incarnation that crashed; undefined where that is not known. */
+  readonly begun?: ReadonlySet<string>
 }
 
 const strengths: readonly CrashEvidence[] = [CrashEvidence.WithRack, CrashEvidence.BesideOthers, CrashEvidence.Alone]
@@ -111,14 +113,14 @@
  * Assesses the crash of a worker.
  * @param state - state of the step jobs before the loss
  * @param incarnation - the incarnation that crashed
- * @param signs - when the workers were last seen alive
+ * @param signs - when the workers were last seen alive, and what had begun in the one that crashed
  * @returns the gangs that may be the cause; none where the worker was leaving or was never seen alive
  */
 export function assessCrash (state: StepState, incarnation: string, signs: SignsOfLife): CrashSuspect[] {
   const worker = state.incarnations.get(incarnation)
   const aliveAt = signs.aliveAt.get(incarnation)
   if (worker === undefined || worker.leaving || aliveAt === undefined) return []
-  const started = gangsJustStarted(state, worker, aliveAt)
+  const started = gangsJustStarted(state, worker, aliveAt, signs.begun)
   return started.filter(({ job }) => state.jobs.get(job)?.endedAt === 0).map(({ gangState, ...key }) => {
     const evidence = isLossOfRack(state, worker, signs, gangState)
       ? CrashEvidence.WithRack
@@ -133,9 +135,10 @@
 }
 
 /** Sorted, and with those of ended jobs, which may have crashed the worker as well. */
-function gangsJustStarted (state: StepState, worker: WorkerIncarnation, aliveAt: number): StartedGang[] {
+function gangsJustStarted (state: StepState, worker: WorkerIncarnation, aliveAt: number, begun?: ReadonlySet<string>): StartedGang[] {
   const found = new Map<string, StartedGang>()
-  for (const key of worker.runs.values()) {
+  for (const [name, key] of worker.runs) {
+    if (begun?.has(name) === false) continue
     const job = state.jobs.get(key.job)
     const gang = gangOf(job, key)
     if (job === undefined || gang?.run?.attempt !== key.attempt || hasSettled(gang.run.startedAt, aliveAt)) continue
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -254,6 +254,39 @@
   expect(simulation.report).toBe('')
 })
 
+/** Crashes that the log holds against the only task of a job. */
+const crashesOf = (simulation: Simulation, job: string): number => simulation.state.steps.jobs.get(job)?.gangs[0]?.[0]?.crashes?.length ?? 0
+
+test('the crash of a worker before the start of a task was sent to it does not count against the task', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const { machine } = simulation.site('a')
+  machine.crash()
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 1_500 })
+  await simulation.run(400)
+  machine.boot(true)
+  await simulation.until('the second attempt starts', () => running(simulation, 'a', 'x.0.0.2'))
+  await simulation.run(300)
+  restartWorker(simulation.site('a'))
+  await simulation.until('the third attempt starts', () => running(simulation, 'a', 'x.0.0.3'))
+  expect(crashesOf(simulation, 'x')).toBe(1)
+  await simulation.until('the job ends', () => simulation.state.steps.open.size === 0)
+  expect(simulation.state.steps.jobs.get('x')?.state).toBe(StepJobState.Completed)
+})
+
+test('the crash of a worker that did not answer the start of a task counts against the task', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  simulation.submitJob('x', wholeWorker)
+  for (const attempt of [1, 2]) {
+    nextStarts(site, [{ after: 1, unanswered: true }])
+    await simulation.until('the attempt starts', () => running(simulation, 'a', `x.0.0.${attempt}`))
+    await simulation.run(5)
+    restartWorker(site)
+    await simulation.until('the crash is recorded', () => crashesOf(simulation, 'x') === attempt)
+  }
+  expect(simulation.state.steps.jobs.get('x')?.state).toBe(StepJobState.Failed)
+})
+
 test('a late poll that acknowledges ends of an earlier incarnation does not make a worker forget ends that are not recorded', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
