Count crashes of workers by task, not by gang

Cause: crashes were counted for the whole gang. All members of a gang share each attempt, so that a gang meets the more crashes the more workers it spans.

Change: the leader notes in the log which tasks were on the crashed worker, and lets a crash count for the gang only where it raises the largest number of crashes under one of its tasks. A task that crashes its workers is on each of them, so its count stays what it was; bounds and evidence are unchanged. Crashes recorded without tasks count for every task.

The new test "crashes of workers under different tasks of a gang do not add up" fails without the change ("expected 'failed' to be 'running'"). The property tests of step-crashes-history pass unchanged.

--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
-  assessCrash, fitsInto, gangOf, IncarnationLossCause, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
+  assessCrash, fitsInto, gangOf, IncarnationLossCause, noSuspects, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
   type FleetView, type WorkerIncarnation, type IncarnationDescription, type Resources, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -13,6 +13,7 @@
 import { notLeaderRefusal } from './convert'
 import { RunProgressTracker } from './run-progress'
 import { SignsOfLifeTracker } from './signs-of-life'
+import { MAX_LOGGED_RUNS, UnassignedRuns } from './unassigned-runs'
 
 /** The server side of a supervising agent's stream. */
 export type SupervisorCall = ServerDuplexStream<wire.WorkerReport, wire.WorkerOrders>
@@ -26,9 +27,6 @@
 /** Time after which a new leader has a report of every agent that can reach it, in milliseconds: three report intervals. */
 const REPORTS_COMPLETE_AFTER_MILLISECONDS = 1_600
 
-/** Limit of run names in a log line. */
-const MAX_LOGGED_RUNS = 10
-
 /** Outcomes that make a worker suspect: it failed a run, or did not accept one. */
 const suspectingOutcomes: ReadonlySet<RunOutcome> = new Set([RunOutcome.Failed, RunOutcome.NotStarted])
 
@@ -90,15 +88,16 @@
   private readonly checkpointSelector = CheckpointSelector.create()
   /** When the registration was made whose loss was submitted last, by incarnation. */
   private readonly submittedLosses = new Map<string, number | undefined>()
-  /** Names of the runs that the last report listed as running although the log does not assign them, by incarnation. */
-  private readonly unassignedRuns = new Map<string, readonly string[]>()
+  private readonly unassignedRuns: UnassignedRuns
   /** The incarnations of the head by host, for the map of incarnations that it was made from. */
   private hostIndex?: { readonly incarnations: State['steps']['incarnations'], readonly byHost: ReadonlyMap<string, readonly WorkerIncarnation[]> }
   private pendingReports: PendingReport[] = []
   private confirming = false
   private leadingSince = performance.now()
 
-  private constructor (private readonly context: SupervisorsContext) {}
+  private constructor (private readonly context: SupervisorsContext) {
+    this.unassignedRuns = UnassignedRuns.create(context.log)
+  }
 
   /**
    * Creates the leader's end, without streams.
@@ -158,7 +157,7 @@
 
   /** Number of runs that workers run although the log does not assign them. */
   get unassignedRunCount (): number {
-    return [...this.unassignedRuns.values()].reduce((sum, names) => sum + names.length, 0)
+    return this.unassignedRuns.count
   }
 
   /** Makes the workers suspect on which a run was stopped because it stalled. */
@@ -190,7 +189,7 @@
       this.leaseExpiresAt.delete(incarnation)
       this.lastReportAt.delete(incarnation)
       this.progress.forget(incarnation)
-      this.unassignedRuns.delete(incarnation)
+      this.unassignedRuns.forget(incarnation)
       this.signsOfLife.forget(incarnation)
     }
   }
@@ -236,7 +235,7 @@
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
-    this.logUnassignedRuns(supervisor.incarnation, report)
+    this.recordUnassignedRuns(supervisor.incarnation, report)
     this.pendingReports.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, receivedAt: performance.now() })
     this.lastReports.set(supervisor, report)
     void this.answerPendingReports()
@@ -373,13 +372,15 @@
   private lossTransaction (incarnation: string, cause: IncarnationLossCause, begun?: ReadonlySet<string>): StepTransaction {
     const { aliveAt } = this.signsOfLife
     this.submittedLosses.set(incarnation, this.context.head().steps.incarnations.get(incarnation)?.registeredAt)
-    const suspects = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now(), begun }) : []
+    const { suspects, crashedTasks } = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now(), begun }) : noSuspects
     this.context.log('worker-lost', {
       incarnation,
       cause,
       silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)),
       runs: this.context.head().steps.incarnations.get(incarnation)?.runs.size ?? 0,
       begun: begun?.size,
+      suspects: suspects.length,
+      notCounted: crashedTasks.length - suspects.length,
       term: this.context.term()
     })
     return {
@@ -389,7 +390,8 @@
       checkpoints: this.progress.checkpointsOf(incarnation),
       cause,
       aliveAt: aliveAt.get(incarnation),
-      suspects
+      suspects,
+      crashedTasks
     }
   }
 
@@ -406,15 +408,11 @@
     if (newEnds.length > 0) this.submit({ kind: StepTransactionKind.EndRuns, at: this.context.now(), incarnation, ends: newEnds })
   }
 
-  /** Logs runs that a worker runs although the log does not assign them to it: the log counts less capacity as used than it is. */
-  private logUnassignedRuns (incarnation: string, { runs }: wire.WorkerReport): void {
+  /** Keeps the runs that a worker runs although the log does not assign them to it. */
+  private recordUnassignedRuns (incarnation: string, { runs }: wire.WorkerReport): void {
     const recorded = this.context.head().steps.incarnations.get(incarnation)
     const names = runs.flatMap(({ key, running }) => key === undefined || !running || recorded?.runs.has(runName(key)) === true ? [] : [runName(key)])
-    const before = this.unassignedRuns.get(incarnation) ?? []
-    if (names.length === 0) this.unassignedRuns.delete(incarnation)
-    else this.unassignedRuns.set(incarnation, names)
-    if (names.every((name) => before.includes(name))) return
-    this.context.log('runs-unassigned', { incarnation, recorded: recorded !== undefined, runs: names.slice(0, MAX_LOGGED_RUNS), count: names.length, term: this.context.term() })
+    this.unassignedRuns.update(incarnation, names, { recorded: recorded !== undefined, term: this.context.term() })
   }
 
   private updateTrust (incarnation: string, outcome: RunOutcome): void {
--- a/src/core/steps/crash-evidence.ts
+++ b/src/core/steps/crash-evidence.ts
@@ -36,12 +36,32 @@
   readonly evidence: CrashEvidence
 }
 
-/** A gang that may have crashed a worker. */
-export interface CrashSuspect extends GangKey {
+/** The tasks of a gang that had just started on workers that crashed in one attempt. */
+export interface CrashedTasks {
   readonly attempt: number
+  /** Positions within the step, ascending. */
+  readonly tasks: readonly number[]
+}
+
+/** An attempt of a gang. */
+export interface GangAttempt extends GangKey {
+  readonly attempt: number
+}
+
+/** A gang for which the crash of a worker counts. */
+export interface CrashSuspect extends GangAttempt {
   readonly evidence: CrashEvidence
 }
 
+/** The tasks of a gang that had just started on one worker that crashed. */
+export interface CrashedGang extends GangAttempt, CrashedTasks {}
+
+/** What the crash of a worker says about the gangs there. */
+export interface CrashAssessment {
+  readonly suspects: readonly CrashSuspect[]
+  readonly crashedTasks: readonly CrashedGang[]
+}
+
 /** What the leader knows of a crash: when it last saw each worker alive, and what had begun on the crashed one. */
 export interface SignsOfLife {
   /** Milliseconds since the epoch, by incarnation; absent for those that this leader has not seen alive. */
@@ -99,6 +119,20 @@
   return { ...gang, crashes: crashes.map((other) => other === known ? { ...known, evidence: crash.evidence } : other) }
 }
 
+/**
+ * Adds tasks to those under the crashes of a gang.
+ * @param gang - the gang
+ * @param crashed - the attempt, and its tasks on the worker that crashed
+ * @returns the updated gang
+ */
+export function withCrashedTasks (gang: Gang, crashed: CrashedTasks): Gang {
+  const { attempt, tasks } = crashed
+  const { crashedTasks = [] } = gang
+  const known = crashedTasks.find((other) => other.attempt === attempt)
+  const merged = [...new Set([...known?.tasks ?? [], ...tasks])].sort((one, other) => one - other)
+  return { ...gang, crashedTasks: [...crashedTasks.filter((other) => other !== known), { attempt, tasks: merged }] }
+}
+
 /**
  * Adds a loss to those that are kept for comparison, and removes those that are too old.
  * @param losses - the losses so far
@@ -114,23 +148,38 @@
  * @param state - state of the step jobs before the loss
  * @param incarnation - the incarnation that crashed
  * @param signs - when the workers were last seen alive, and what had begun in the one that crashed
- * @returns the gangs that may be the cause; none where the worker was leaving or was never seen alive
+ * @returns the gangs that may be the cause, and those for which the crash counts; none where the worker was leaving or was never seen alive
  */
-export function assessCrash (state: StepState, incarnation: string, signs: SignsOfLife): CrashSuspect[] {
+export function assessCrash (state: StepState, incarnation: string, signs: SignsOfLife): CrashAssessment {
   const worker = state.incarnations.get(incarnation)
   const aliveAt = signs.aliveAt.get(incarnation)
-  if (worker === undefined || worker.leaving || aliveAt === undefined) return []
+  if (worker === undefined || worker.leaving || aliveAt === undefined) return noSuspects
   const started = gangsJustStarted(state, worker, aliveAt, signs.begun)
-  return started.filter(({ job }) => state.jobs.get(job)?.endedAt === 0).map(({ gangState, ...key }) => {
+  const open = started.filter(({ job }) => state.jobs.get(job)?.endedAt === 0)
+  const suspects = open.filter(({ gangState, ...crashed }) => addsUp(gangState, crashed)).map(({ gangState, tasks: _tasks, ...key }) => {
     const evidence = isLossOfRack(state, worker, signs, gangState)
       ? CrashEvidence.WithRack
       : started.length > 1 ? CrashEvidence.BesideOthers : CrashEvidence.Alone
     return { ...key, evidence }
   })
+  return { suspects, crashedTasks: open.map(({ gangState: _gang, ...crashed }) => crashed) }
 }
 
-interface StartedGang extends GangKey {
-  readonly attempt: number
+/** The assessment of a loss that is no evidence. */
+export const noSuspects: CrashAssessment = { suspects: [], crashedTasks: [] }
+
+/**
+ * Whether more workers have crashed under one of the tasks than crashes count for the gang. The members of a gang share each
+ * attempt, so that crashes under different members show no task that crashes its workers.
+ */
+function addsUp (gang: Gang, { attempt, tasks }: CrashedTasks): boolean {
+  const counted = (gang.crashes ?? []).filter((crash) => crash.attempt !== attempt)
+  const earlier = (gang.crashedTasks ?? []).filter((crashed) => crashed.attempt !== attempt)
+  const withoutTasks = counted.filter((crash) => earlier.every((crashed) => crashed.attempt !== crash.attempt)).length
+  return tasks.some((task) => withoutTasks + earlier.filter((crashed) => crashed.tasks.includes(task)).length >= counted.length)
+}
+
+interface StartedGang extends CrashedGang {
   readonly gangState: Gang
 }
 
@@ -143,7 +192,9 @@
     const gang = gangOf(job, key)
     if (job === undefined || gang?.run?.attempt !== key.attempt || hasSettled(gang.run.startedAt, aliveAt)) continue
     const position = job.gangs[key.step]?.indexOf(gang) ?? -1
-    found.set(`${key.job}.${key.step}.${position}`, { job: key.job, step: key.step, gang: position, attempt: key.attempt, gangState: gang })
+    const identifier = `${key.job}.${key.step}.${position}`
+    const tasks = [...found.get(identifier)?.tasks ?? [], key.task].sort((one, other) => one - other)
+    found.set(identifier, { job: key.job, step: key.step, gang: position, attempt: key.attempt, tasks, gangState: gang })
   }
   return [...found.entries()].sort(([one], [other]) => one < other ? -1 : 1).map(([, started]) => started)
 }
@@ -179,7 +230,7 @@
  * @param suspect - the gang with its attempt
  * @returns the gang, or undefined
  */
-export function gangUnderSuspicion (state: StepState, suspect: CrashSuspect): Gang | undefined {
+export function gangUnderSuspicion (state: StepState, suspect: GangAttempt): Gang | undefined {
   const { job: identifier, step, gang: position, attempt } = suspect
   const job = state.jobs.get(identifier)
   const gang = job?.gangs[step]?.[position]
--- a/src/core/steps/incarnations.ts
+++ b/src/core/steps/incarnations.ts
@@ -4,7 +4,7 @@
 import type { Draft } from '../draft'
 import { EffectKind } from '../effect'
 import type { Refusal } from '../verdict'
-import { gangUnderSuspicion, isPastCrashBound, withCrash, withLoss, type CrashSuspect } from './crash-evidence'
+import { gangUnderSuspicion, isPastCrashBound, withCrash, withCrashedTasks, withLoss, type CrashedGang, type CrashSuspect, type GangAttempt } from './crash-evidence'
 import { endStepJob, setStepJob } from './jobs'
 import { gangOf, IncarnationLossCause, JobEndReason, noResources, StepJobState, type WorkerIncarnation } from './model'
 import { resourcesOf, sameResources } from './resources'
@@ -70,24 +70,32 @@
   const worker = draft.steps.incarnations.get(incarnation)
   if (worker === undefined) return ok(undefined)
   const newest = new Map(checkpoints.map(({ key, checkpoint }) => [runName(key), checkpoint]))
-  const suspects = suspectsOn(draft, worker, transaction)
+  const suspects = attemptsOn(draft, worker, cause, transaction.suspects)
+  const crashedTasks = attemptsOn(draft, worker, cause, transaction.crashedTasks)
   for (const [name, key] of sortedByName(worker.runs)) endMember(draft, key, incarnation, RunOutcome.Lost, newest.get(name) ?? '')
   const losses = withLoss(draft.steps.losses, { incarnation, host: worker.host, rack: worker.rack, at: draft.at, aliveAt })
   draft.steps = { ...draft.steps, incarnations: draft.steps.incarnations.delete(incarnation), losses }
   draft.recordEvent({ kind: StepTransactionKind.LoseIncarnation, workers: [worker.worker], reason: cause })
+  for (const crashed of crashedTasks) recordCrashedTasks(draft, crashed)
   for (const suspect of suspects) recordCrash(draft, suspect, worker)
   return ok(undefined)
 }
 
-/** The suspects of which a task is on the worker. A worker that was leaving may have ended by itself. */
-function suspectsOn (draft: Draft, worker: WorkerIncarnation, { cause, suspects = [] }: LoseIncarnation): CrashSuspect[] {
+/** The attempts of which a task is on the worker. A worker that was leaving may have ended by itself. */
+function attemptsOn<Attempt extends GangAttempt> (draft: Draft, worker: WorkerIncarnation, cause: IncarnationLossCause | undefined, attempts: readonly Attempt[] = []): Attempt[] {
   if (cause !== IncarnationLossCause.Replaced || worker.leaving) return []
-  return suspects.filter((suspect) => {
+  return attempts.filter((suspect) => {
     const gang = gangUnderSuspicion(draft.steps, suspect)
     return gang !== undefined && worker.runs.some((key) => key.job === suspect.job && key.step === suspect.step && key.attempt === suspect.attempt && gangOf(draft.steps.jobs.get(key.job), key) === gang)
   })
 }
 
+function recordCrashedTasks (draft: Draft, crashed: CrashedGang): void {
+  const job = draft.steps.jobs.get(crashed.job)
+  const gang = gangUnderSuspicion(draft.steps, crashed)
+  if (job !== undefined && gang !== undefined) setStepJob(draft, replaceGang(job, crashed, withCrashedTasks(gang, crashed)))
+}
+
 /** Ends the job of the gang where the evidence suffices. */
 function recordCrash (draft: Draft, suspect: CrashSuspect, { worker, incarnation }: WorkerIncarnation): void {
   const job = draft.steps.jobs.get(suspect.job)
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,4 +1,4 @@
-export { assessCrash, CrashEvidence, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
+export { assessCrash, CrashEvidence, noSuspects, type CrashAssessment, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
 export * from './model'
 export * from './resources'
 export * from './run'
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -1,5 +1,5 @@
 import type { TransactionBase } from '../transaction'
-import type { CrashSuspect } from './crash-evidence'
+import type { CrashedGang, CrashSuspect } from './crash-evidence'
 import type { IncarnationDescription, IncarnationLossCause, Resources, StepJobSpecification, StopReason } from './model'
 import type { RunKey, RunOutcome } from './run'
 
@@ -117,6 +117,8 @@
   readonly aliveAt?: number
   /** Gangs that may have crashed the worker; ignored unless it was replaced. */
   readonly suspects?: readonly CrashSuspect[]
+  /** The tasks of gangs that may have crashed the worker, whether the crash counts for their gang or not; ignored unless it was replaced. */
+  readonly crashedTasks?: readonly CrashedGang[]
 }
 
 /** A checkpoint of a run. */
--- a/test/step-crashes.test.ts
+++ b/test/step-crashes.test.ts
@@ -144,6 +144,39 @@
   expect(world.job('j').state).toBe(StepJobState.Running)
 })
 
+/** Starts a gang of two tasks on two workers; the worker of one of them crashes at once. */
+function startPairAndCrash (world: StepWorld, crashing: 0 | 1): void {
+  const names = world.state.steps.incarnations.keySeq().toArray().sort().slice(0, 2)
+  const attempt = (world.job('j').gangs[0]?.[0]?.attempts ?? 0) + 1
+  world.start('j', 0, 0, names)
+  const crashedAt = world.now
+  world.now += 3_000
+  world.crash(names[crashing]!, new Map([...allAlive(world), [names[crashing]!, crashedAt]]))
+  world.end(names[1 - crashing]!, key('j', attempt, 1 - crashing), RunOutcome.MemberEnded)
+}
+
+test('crashes of workers under different tasks of a gang do not add up', () => {
+  const world = StepWorld.create(fleet)
+  world.submit('j', [step({ tasks: 2, gang: true })])
+  startPairAndCrash(world, 0)
+  startPairAndCrash(world, 1)
+  expect(world.job('j').state).toBe(StepJobState.Running)
+  world.state = decodeState(encodeState(world.state))
+  startPairAndCrash(world, 1)
+  expect(world.job('j')).toMatchObject({ state: StepJobState.Failed, endReason: 'workers-crashed' })
+})
+
+test('a crash that was recorded without its tasks counts for each task of the gang', () => {
+  const world = StepWorld.create(fleet)
+  world.submit('j', [step({ tasks: 2, gang: true })])
+  startPairAndCrash(world, 0)
+  const job = world.job('j')
+  const gangs = job.gangs.map((list) => list.map(({ crashedTasks: _, ...gang }) => gang))
+  world.state = { ...world.state, steps: { ...world.state.steps, jobs: world.state.steps.jobs.set('j', { ...job, gangs }) } }
+  startPairAndCrash(world, 1)
+  expect(world.job('j').state).toBe(StepJobState.Failed)
+})
+
 test('a start past the bound is refused, whatever the policy', () => {
   const world = StepWorld.create(fleet)
   world.submit('j', [step()])
