Do not take a run for one that never started while the worker has more ends to list

Cause: a worker lists 500 ends at a time and the others once these are acknowledged. The agent concluded from a list with 500 ends that a run in neither list had vanished, stopped it, and reported that it had never started.

Change: the adapter says whether the list of ends is complete; while it is not, runs in neither list stay as they are. Reports and memory of the agent stay at one page of ends.

The new test "tasks of which the ends do not fit one list of the worker do not run again after an outage of control" fails without the change (700 starts instead of 600); the one with an agent that restarts passes with and without it.

--- a/src/agent/run-table.ts
+++ b/src/agent/run-table.ts
@@ -74,7 +74,8 @@
 }
 
 /**
- * Applies the worker's lists of runs and ends.
+ * Applies the worker's lists of runs and ends. While the list of ends is not complete, runs that are in neither list stay as
+ * they are: the worker lists further ends once those listed are acknowledged.
  * @param table - the table before
  * @param lists - the lists
  * @param confirmedStops - names of runs whose stop was answered before the lists were requested; one of these that is not
@@ -91,7 +92,7 @@
     const listedRun = listed.get(name)
     if (ended.has(name)) continue
     if (listedRun !== undefined) runs.set(name, { ...run, ...listedRun, listed: true, begun: true, phase: phaseOfListedRun(run) })
-    else runs.set(name, updateUnlistedRun(run, confirmedStops.has(name)))
+    else runs.set(name, lists.endsComplete ? updateUnlistedRun(run, confirmedStops.has(name)) : run)
   }
   for (const [name, listedRun] of listed) {
     if (!runs.has(name)) runs.set(name, { ...listedRun, phase: RunPhase.Running, listed: true, begun: true })
--- a/src/agent/worker-api.ts
+++ b/src/agent/worker-api.ts
@@ -101,6 +101,8 @@
   readonly clock: number
   readonly running: readonly ListedRun[]
   readonly ends: readonly ListedEnd[]
+  /** There are no further ends. Otherwise a run that is in neither list may have ended. */
+  readonly endsComplete: boolean
 }
 
 /** Parameters of a poll of the worker. */
--- a/stand-ins/worker.ts
+++ b/stand-ins/worker.ts
@@ -9,6 +9,8 @@
 const STOP_DELAY_MILLISECONDS = 20
 /** Upper limit of a lease, in milliseconds. */
 const MAX_LEASE_MILLISECONDS = 10_000
+/** Limit of ends in one list. */
+const LISTED_ENDS = 500
 
 /** Faults that can be applied to the next orders. */
 export enum OrderFault {
@@ -157,7 +159,7 @@
     }
     const running = [...this.runs.values()].map(({ task, attempt, startedAt, spec }) => (
       [task, attempt, '', Math.min(99, Math.floor(100 * (this.clock - startedAt) / Math.max(1, Number(spec))))]))
-    return { status: 200, body: { running, finished: this.ends } }
+    return { status: 200, body: { running, finished: this.ends.slice(0, LISTED_ENDS) } }
   }
 
   private finish (name: string, outcome: string): void {
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -307,6 +307,35 @@
   expect(simulation.report).toBe('')
 })
 
+/** Tasks of which 600 fit a worker. */
+const manyTasks: JobPlan = { tasks: 600, gang: false, accelerators: 0, milliseconds: 1_500, processors: 100, memoryMegabytes: 200 }
+
+test('tasks of which the ends do not fit one list of the worker do not run again after an outage of control', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  simulation.submitJob('x', manyTasks)
+  await simulation.until('all runs start', () => site.machine.runs.size === manyTasks.tasks)
+  site.cut()
+  await simulation.run(3_000)
+  site.heal()
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  expect(simulation.platform.starts).toBe(manyTasks.tasks)
+  expect(simulation.report).toBe('')
+})
+
+test('an agent that restarted does not run tasks again of which the ends do not fit one list of the worker', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  simulation.submitJob('x', manyTasks)
+  await simulation.until('all runs start', () => site.machine.runs.size === manyTasks.tasks)
+  site.killAgent()
+  await simulation.run(2_000)
+  site.startAgent()
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  expect(simulation.platform.starts).toBe(manyTasks.tasks)
+  expect(simulation.report).toBe('')
+})
+
 test('a leader that was superseded and goes on for a while does not overload a worker', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   for (const job of ['x', 'y', 'z']) simulation.submitJob(job, { ...wholeWorker, milliseconds: 1_000 })
--- a/test/supervision-simulation.ts
+++ b/test/supervision-simulation.ts
@@ -417,9 +417,9 @@
 
   submitJob (identifier: string, plan: JobPlan, queue = 'normal'): void {
     this.platform.jobs.set(identifier, plan)
-    const { tasks, gang, accelerators, milliseconds } = plan
+    const { tasks, gang, accelerators, milliseconds, processors = 1_000, memoryMegabytes = 1_000 } = plan
     void this.submit({
-      kind: StepTransactionKind.SubmitSteps, at: Date.now(), identifier, account: queue === 'urgent' ? 'one' : 'two', queue, specification: { payload: identifier, steps: [step({ tasks, gang, accelerators, estimateMilliseconds: milliseconds })] }
+      kind: StepTransactionKind.SubmitSteps, at: Date.now(), identifier, account: queue === 'urgent' ? 'one' : 'two', queue, specification: { payload: identifier, steps: [step({ tasks, gang, accelerators, processors, memoryMegabytes, estimateMilliseconds: milliseconds })] }
     })
   }
 
--- a/test/supervision-worker.ts
+++ b/test/supervision-worker.ts
@@ -23,6 +23,9 @@
   readonly gang: boolean
   readonly accelerators: number
   readonly milliseconds: number
+  /** Thousandths of a processor, and megabytes, of each task; 1,000 of each where not given. */
+  readonly processors?: number
+  readonly memoryMegabytes?: number
   /** The first attempt fails halfway. */
   readonly fails?: boolean
 }
@@ -41,6 +44,9 @@
 /** The times that the platform's pages state, and runs that end at once when their lease expires. */
 export const statedTimes: PlatformTimes = { holdMax: 6_000, stop: 400, lapse: 0, gangWait: 3_000, heartbeat: 700, drain: 2_000 }
 
+/** Limit of ends in one list; the others follow once these are acknowledged. */
+const LISTED_ENDS = 500
+
 interface TraceEntry { readonly at: number, readonly subjects: readonly string[], readonly text: string }
 
 /** Upper limits of a printed trace. */
@@ -103,7 +109,7 @@
 /** How a worker answers. */
 export interface Answer { readonly status: number, readonly clock: number, readonly born: number, readonly reason?: string }
 
-export interface Lists extends Answer { readonly running: readonly ListedRun[], readonly ends: readonly ListedEnd[] }
+export interface Lists extends Answer { readonly running: readonly ListedRun[], readonly ends: readonly ListedEnd[], readonly endsComplete: boolean }
 
 const taskName = ({ job, step, task }: RunKey): string => `${job}.${step}.${task}`
 
@@ -288,7 +294,7 @@
         life.pollWaiters.push(resolve)
       })
     }
-    return this.life === life ? { ...this.answer(life, { status: 200 }), running: this.listRuns(life), ends: life.ends } : undefined
+    return this.life === life ? { ...this.answer(life, { status: 200 }), running: this.listRuns(life), ends: life.ends.slice(0, LISTED_ENDS), endsComplete: life.ends.length < LISTED_ENDS } : undefined
   }
 
   private handle (worker: string, text: string, subjects: readonly string[], handler: (life: Life) => Pick<Answer, 'status' | 'reason'>, traced = true): Answer | undefined {
--- a/test/supervisor-fixture.ts
+++ b/test/supervisor-fixture.ts
@@ -55,7 +55,7 @@
     await new Promise((resolve) => { setTimeout(resolve, 5) })
     if (!this.answersPolls) return OrderOutcome.Unknown
     if (startedAt !== this.startedAt) return OrderOutcome.OtherIncarnation
-    return { clock: 2_000, running: [...this.running], ends: this.ends.filter(({ number }) => number > request.acknowledged) }
+    return { clock: 2_000, running: [...this.running], ends: this.ends.filter(({ number }) => number > request.acknowledged), endsComplete: true }
   }
 
   async close (): Promise<void> { await Promise.resolve() }
