--- a/stand-ins/worker.ts
+++ b/stand-ins/worker.ts
@@ -25,6 +25,7 @@
 interface Run { readonly task: string, readonly attempt: number, readonly startedAt: number, readonly spec: string, readonly timer: NodeJS.Timeout }
 type End = readonly [number, string, number, string, string]
 interface Order { readonly task?: string, readonly attempt?: number, readonly spec?: string, readonly deadline_ms?: number, readonly fencing_token?: number, readonly ack_cursor?: number, readonly wait_ms?: number }
+interface OddAnswer { readonly path: string, readonly status: number, readonly text: string }
 interface Answer { readonly status: number, readonly body: object }
 
 /** Observations at the worker, for tests. */
@@ -43,6 +44,10 @@
   readonly observations: WorkerObservations = { starts: [], specs: [], overlappingRuns: [], beside: [] }
   /** Faults of the next orders, in order. */
   readonly faults: OrderFault[] = []
+  /** JSON texts that both lists have beside the rows of the runs. */
+  oddRows: string[] = []
+  /** The next answers on a path, in place of its own; the orders are executed. */
+  readonly oddAnswers: OddAnswer[] = []
   readonly startedAt = Date.now()
   /** Delay of a late order, in milliseconds. */
   delayMilliseconds = 300
@@ -106,7 +111,14 @@
     if (fault === OrderFault.Late) { setTimeout(() => { void this.execute(incoming.url ?? '', order) }, this.delayMilliseconds); return }
     const { status, body } = await this.execute(incoming.url ?? '', order)
     if (fault === OrderFault.ResponseLost) return
-    outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...body, clock_ms: this.clock, born: this.startedAt }))
+    const odd = this.oddAnswers.findIndex(({ path }) => path === incoming.url)
+    const answer = odd >= 0 ? this.oddAnswers.splice(odd, 1)[0]! : { status, text: this.textOf(body) }
+    outgoing.writeHead(answer.status, { 'content-type': 'application/json' }).end(answer.text)
+  }
+
+  private textOf (body: object): string {
+    const text = JSON.stringify({ ...body, clock_ms: this.clock, born: this.startedAt })
+    return this.oddRows.length === 0 ? text : text.replace(/"(running|finished)":\[/g, (start) => `${start}${this.oddRows.join()},`).replaceAll(',]', ']')
   }
 
   private async execute (path: string, order: Order): Promise<Answer> {
--- a/test/worker-client.test.ts
+++ b/test/worker-client.test.ts
@@ -30,6 +30,14 @@
   return await client.poll(context(), { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 })
 }
 
+test('a run of which the checkpoint or the progress cannot be read is listed without them', async () => {
+  const running = [[], {}, null, true, -1, 1e300, 'x'.repeat(3)].flatMap((odd, position) => [[`j.0.0.${position}`, 1, odd, 40], [`j.0.1.${position}`, 1, 'saved', odd]])
+  const { running: listed } = await poll({ running }) as RunLists
+  expect(listed).toHaveLength(running.length)
+  expect([...new Set(listed.map(({ checkpoint }) => checkpoint))]).toEqual(['', 'saved', 'xxx'])
+  expect([...new Set(listed.filter(({ key }) => key.step === 1).map(({ percent }) => percent))]).toEqual([0, 100])
+})
+
 test('a list with as many ends as a worker lists at a time may lack some', async () => {
   const finished = Array.from({ length: 500 }, (_, position) => [position + 1, `j.0.0.${position}`, 1, 'done', ''])
   expect(await poll({ finished })).toMatchObject({ endsComplete: false })
