Follow the worker that answers, whatever other heartbeats say

Cause: the agent ordered incarnations by the time of start in their heartbeats alone, which another sender can write and which a clock that is set back falsifies.

Change: on a heartbeat of another incarnation the agent asks the followed one whether it still answers. If it does, the heartbeat is ignored and logged (`heartbeat-ignored`). If another incarnation answers in its place, or it was never heard itself, the new one is followed whatever its time of start; if nothing answers, the times decide as before. While the agent asks, it sends no starts.

Tests that fail without the change: odd-entries "a heartbeat that no worker answers for, of a service that no document names, does not displace the worker" (time-out), supervision-scenarios "a worker that restarted after its time of day was set back is followed" ("did not happen: the job ends").

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -10,7 +10,7 @@
 import { WorkerReport, type PredecessorRuns, type StartOrder, type WorkerOrders } from '../wire'
 import { acknowledge, addRun, applyRunLists, emptyRunTable, endsToReport, removeRun, RunPhase, updateRun, type RunTable, type TrackedRun } from './run-table'
 import { ControlStream, type StreamProtocol } from './control-stream'
-import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type WorkerApi, type WorkerHeartbeat } from './worker-api'
+import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type PollRequest, type WorkerApi, type WorkerHeartbeat } from './worker-api'
 
 /** Interval of reports while nothing changes, in milliseconds. */
 const REPORT_MILLISECONDS = 500
@@ -95,6 +95,8 @@
   /** Starts that got no answer, of all incarnations, by name. */
   private readonly unansweredStarts = new Map<string, UnansweredStart>()
   private readonly endedIncarnations = new Set<string>()
+  /** The newest heartbeat of each incarnation that is being checked, by incarnation. */
+  private readonly checkedHeartbeats = new Map<string, WorkerHeartbeat>()
   private readonly stream: ControlStream<WorkerReport, WorkerOrders>
   private term = 0
   private sequence = 0
@@ -144,7 +146,8 @@
    */
   handleHeartbeat (heartbeat: WorkerHeartbeat): void {
     const { current } = this
-    if (current === undefined || current.heartbeat.incarnation !== heartbeat.incarnation) { this.beginIncarnation(heartbeat); return }
+    if (current === undefined) { this.beginIncarnation(heartbeat); return }
+    if (current.heartbeat.incarnation !== heartbeat.incarnation) { void this.checkSuccessor(current, heartbeat); return }
     current.clock = Math.max(current.clock, heartbeat.clock)
     this.updateCapacity(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
@@ -153,6 +156,28 @@
     this.report()
   }
 
+  /**
+   * Begins another incarnation unless the tracked one still answers: an agent has one worker, so the heartbeat is then late
+   * or of another sender. The times of start alone do not show which is later, as the time of day can be set back.
+   */
+  private async checkSuccessor (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): Promise<void> {
+    const { incarnation } = heartbeat
+    if (this.endedIncarnations.has(incarnation) || tracked.predecessors.includes(incarnation)) return
+    const checked = this.checkedHeartbeats.get(incarnation)
+    if (checked === undefined || heartbeat.sequence > checked.sequence) this.checkedHeartbeats.set(incarnation, heartbeat)
+    if (checked !== undefined) return
+    // Starts must not be sent to the new incarnation in the meantime.
+    tracked.verified = false
+    const answer = await this.options.worker.poll(this.context(tracked), identityPoll)
+    const newest = this.checkedHeartbeats.get(incarnation) ?? heartbeat
+    this.checkedHeartbeats.delete(incarnation)
+    if (this.ended || this.current !== tracked) return
+    const gone = answer === OrderOutcome.OtherIncarnation || !tracked.reportable
+    const silent = typeof answer === 'string'
+    if (gone || (silent && heartbeat.startedAt >= tracked.heartbeat.startedAt)) { this.beginIncarnation(newest); return }
+    this.options.log('heartbeat-ignored', { incarnation, current: tracked.heartbeat.incarnation, answer: silent ? answer : 'answers' })
+  }
+
   /** A late heartbeat must not bring an older capacity back. */
   private updateCapacity (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
     if (heartbeat.sequence <= tracked.heartbeatSequence) return
@@ -188,8 +213,7 @@
   private beginIncarnation (heartbeat: WorkerHeartbeat): void {
     const { current } = this
     const { incarnation } = heartbeat
-    if (this.endedIncarnations.has(incarnation) || current?.predecessors.includes(incarnation) === true) return
-    if (current !== undefined && heartbeat.startedAt < current.heartbeat.startedAt) return
+    if (this.endedIncarnations.has(incarnation)) return
     const unanswered = this.recentUnansweredStarts()
     const next: TrackedIncarnation = {
       heartbeat,
@@ -330,7 +354,7 @@
 
   /** Asks the worker whether it is still this incarnation. */
   private async verify (tracked: TrackedIncarnation): Promise<boolean> {
-    tracked.verified = typeof await this.options.worker.poll(this.context(tracked), { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }) !== 'string'
+    tracked.verified = typeof await this.options.worker.poll(this.context(tracked), identityPoll) !== 'string'
     return tracked.verified
   }
 
@@ -437,6 +461,9 @@
   }
 }
 
+/** A poll that only shows which incarnation answers. */
+const identityPoll: PollRequest = { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }
+
 /** Outcomes after which the worker may have restarted. */
 const unansweredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
 
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -80,6 +80,13 @@
   await expectServed()
 })
 
+test('a heartbeat that no worker answers for, of a service that no document names, does not displace the worker', async () => {
+  const odd = fixture.worker.heartbeat({ service: 'none', born: Date.now() + 1_000 })
+  expect(await postHeartbeat(JSON.stringify(odd), '/instances/i-other/heartbeat')).toBe(200)
+  await fixture.sendHeartbeat()
+  await expectServed()
+})
+
 test('rows of a worker\'s lists that cannot be read are left out, and the others hold', async () => {
   // A worker's answer with all of them would take longer than its time-out.
   const texts = oddTexts.filter(({ length }) => length < 50_000)
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -190,6 +190,16 @@
   expect(simulation.state.steps.jobs.get('x')?.gangs[0]?.[0]?.failures).toBe(1)
 })
 
+test('a worker that restarted after its time of day was set back is followed', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const { machine } = simulation.site('a')
+  machine.crash()
+  machine.boot(true, -5_000)
+  simulation.submitJob('x', wholeWorker)
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  expect(simulation.report).toBe('')
+})
+
 test('a report of an earlier incarnation that was held up on an older stream does not free the capacity of the current one', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
--- a/test/supervision-worker.ts
+++ b/test/supervision-worker.ts
@@ -194,13 +194,13 @@
   get incarnation (): string { return this.life === undefined ? `${this.host}, which is down` : `${this.life.id}@${this.life.born}` }
   get runs (): ReadonlyMap<string, ActiveRun> { return this.life?.runs ?? noRuns }
 
-  /** Starts a worker, under the name of the last one if that is wanted. */
-  boot (sameName = false): void {
+  /** Starts a worker, under the name of the last one if that is wanted, with its time of day ahead by an offset in milliseconds. */
+  boot (sameName = false, clockOffset = 0): void {
     const { dice } = this.platform
     if (this.life !== undefined) return
     if (!sameName || this.lives === 0) this.lives += 1
     const life: Life = {
-      id: `${this.host}${this.lives}`, born: Date.now(), startedAt: performance.now(), rate: dice.pick([1, 0.99, 0.98]), runs: new Map(), refused: new Map(), ends: [], lastEnd: 0, fence: 0, leaseUntil: 0, leaving: false, sequence: 0, pollWaiters: []
+      id: `${this.host}${this.lives}`, born: Date.now() + clockOffset, startedAt: performance.now(), rate: dice.pick([1, 0.99, 0.98]), runs: new Map(), refused: new Map(), ends: [], lastEnd: 0, fence: 0, leaseUntil: 0, leaving: false, sequence: 0, pollWaiters: []
     }
     this.life = life
     this.unhealthy = false
