Do not let a late heartbeat displace a worker that has not been reported yet

Change: a worker that answers is never displaced. An incarnation that was displaced may return, and is then not counted among its own predecessors.

The new test of supervisor.test.ts fails without the change (time-out).

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -10,7 +10,7 @@
 import { WorkerReport, type PredecessorRuns, type StartOrder, type WorkerOrders } from '../wire'
 import { acknowledge, addRun, applyRunLists, emptyRunTable, endsToReport, removeRun, RunPhase, updateRun, type RunTable, type TrackedRun } from './run-table'
 import { ControlStream, type StreamProtocol } from './control-stream'
-import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type PollRequest, type WorkerApi, type WorkerHeartbeat } from './worker-api'
+import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type PollRequest, type RunLists, type WorkerApi, type WorkerHeartbeat } from './worker-api'
 
 /** Interval of reports while nothing changes, in milliseconds. */
 const REPORT_MILLISECONDS = 500
@@ -162,7 +162,7 @@
    */
   private async checkSuccessor (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): Promise<void> {
     const { incarnation } = heartbeat
-    if (this.endedIncarnations.has(incarnation) || tracked.predecessors.includes(incarnation)) return
+    if (this.endedIncarnations.has(incarnation)) return
     const checked = this.checkedHeartbeats.get(incarnation)
     if (checked === undefined || heartbeat.sequence > checked.sequence) this.checkedHeartbeats.set(incarnation, heartbeat)
     if (checked !== undefined) return
@@ -172,10 +172,8 @@
     const newest = this.checkedHeartbeats.get(incarnation) ?? heartbeat
     this.checkedHeartbeats.delete(incarnation)
     if (this.ended || this.current !== tracked) return
-    const gone = answer === OrderOutcome.OtherIncarnation || !tracked.reportable
-    const silent = typeof answer === 'string'
-    if (gone || (silent && heartbeat.startedAt >= tracked.heartbeat.startedAt)) { this.beginIncarnation(newest); return }
-    this.options.log('heartbeat-ignored', { incarnation, current: tracked.heartbeat.incarnation, answer: silent ? answer : 'answers' })
+    if (isDisplaced(tracked, heartbeat, answer)) { this.beginIncarnation(newest); return }
+    this.options.log('heartbeat-ignored', { incarnation, current: tracked.heartbeat.incarnation, answer: typeof answer === 'string' ? answer : 'answers' })
   }
 
   /** A late heartbeat must not bring an older capacity back. */
@@ -228,8 +226,8 @@
       openStops: new Set(),
       polledAcknowledged: -1,
       toRevoke: new Set(unanswered.map(runName)),
-      predecessors: current === undefined ? [] : [...current.predecessors, current.heartbeat.incarnation],
-      predecessorRuns: current === undefined ? [] : [...current.predecessorRuns, ...begunRunsOf(current)],
+      predecessors: current === undefined ? [] : [...current.predecessors, current.heartbeat.incarnation].filter((other) => other !== incarnation),
+      predecessorRuns: current === undefined ? [] : [...current.predecessorRuns, ...begunRunsOf(current)].filter((other) => other.incarnation !== incarnation),
       reportable: false,
       verified: false
     }
@@ -467,6 +465,15 @@
 /** Outcomes after which the worker may have restarted. */
 const unansweredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
 
+/**
+ * Whether another incarnation takes the place of the tracked one, given how that answered a poll. One that never answered may
+ * be that of another sender.
+ */
+function isDisplaced ({ reportable, heartbeat }: TrackedIncarnation, other: WorkerHeartbeat, answer: RunLists | OrderOutcome): boolean {
+  if (typeof answer !== 'string') return false
+  return answer === OrderOutcome.OtherIncarnation || !reportable || other.startedAt >= heartbeat.startedAt
+}
+
 /** Outcomes after which the order has not reached the incarnation. */
 const undeliveredOutcomes: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.NotSent, OrderOutcome.OtherIncarnation])
 
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -187,6 +187,19 @@
   expect(fixture.worker.calls).toHaveLength(1)
 })
 
+test('a late heartbeat that comes before an agent that restarted has reported its worker does not displace it', async () => {
+  const late = await SupervisorFixture.create()
+  late.worker.answersPolls = false
+  late.supervisor.handleHeartbeat(heartbeat)
+  late.supervisor.handleHeartbeat({ ...heartbeat, incarnation: 'w@3', startedAt: 3 })
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  late.worker.answersPolls = true
+  late.supervisor.handleHeartbeat({ ...heartbeat, sequence: 2 })
+  await until(() => late.lastReport?.life?.incarnation === 'w@5')
+  expect(late.lastReport?.gone).not.toContain('w@5')
+  await late.close()
+})
+
 test('a heartbeat that comes while the incarnation changes is not lost', async () => {
   fixture.worker.answers = Array.from({ length: 1_000 }, () => noAnswer)
   fixture.sendOrders({ starts: [{ key, payload: 'text' }] })
