Learn the pace of workers, and make room for gangs below the highest priority

Callers waited for gangs of priority 1 while single tasks of priority 2 took each place that became free, and work with little slack was late because it was put on workers of half the usual pace.

The leader learns the pace of each worker from the progress of tasks beside others of their step. Work that would be late on a slow worker keeps to the others, work that can afford it goes to slow workers first. A gang of several tasks stops lower work that resumes from checkpoints once it has waited for half of its estimate, and after four times its estimate it reserves the workers on which it can start first; narrow work backfills them.

--- a/measurements/load-profiles.ts
+++ b/measurements/load-profiles.ts
@@ -216,6 +216,36 @@
   kinds: { portrait: largePortrait, proof: largeProof, script: largeScript }
 }
 
+/** Callers compete for too little room: three quarters of the accelerators are in use on average, and bursts ask for more than there are. */
+const scarce = {
+  ...large,
+  workers: 55,
+  workerProcessors: 128_000,
+  workerMegabytes: 262_144,
+  workersPerRack: 6,
+  accounts: 10,
+  checkpointMilliseconds: 1_000,
+  kinds: {
+    portrait: { ...portrait, jobsPerSecond: 0.347, tasks: 6, taskMilliseconds: 15_714, processors: 52_000, memoryMegabytes: 75_000, gangShare: 1, lateValue: 1.5 },
+    proof: { ...proof, jobsPerSecond: 1.01, tasks: 5, processors: 15_000, memoryMegabytes: 39_000, gangShare: 1, targetMilliseconds: 300 },
+    script: { ...script, jobsPerSecond: 0.233, tasks: 39, taskMilliseconds: 8_714, processors: 11_000, memoryMegabytes: 16_000, lateValue: 0.5, estimateSpread: 0.5 }
+  }
+}
+/** A quarter of the workers runs at less than half the pace of the others, and demand swings. */
+const uneven = {
+  ...scarce,
+  workers: 73,
+  workerMegabytes: 524_288,
+  workersPerRack: 12,
+  checkpointMilliseconds: 500,
+  slownesses: [1.82, 0.83, 0.83, 0.83],
+  kinds: {
+    portrait: { ...scarce.kinds.portrait, jobsPerSecond: 0.458, tasks: 8, taskMilliseconds: 10_286, memoryMegabytes: 210_000, lateValue: 0.9 },
+    proof: { ...scarce.kinds.proof, jobsPerSecond: 1.13, taskMilliseconds: 3_000, memoryMegabytes: 61_000 },
+    script: { ...scarce.kinds.script, jobsPerSecond: 0.327, taskMilliseconds: 7_429, memoryMegabytes: 33_000, lateValue: 0.3, estimateSpread: 0.2 }
+  }
+}
+
 /** Loads of the deployments: usual, with bursts, with a fifth of the workers slow, and with a power loss. */
 export const loads: Readonly<Record<string, LoadProfile>> = {
   'song huong': { ...songHuong, bursts: [] },
@@ -249,6 +279,14 @@
     bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }]
   },
   'valkenhand grown, power lost': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }], powerLossAt: 20 },
+  'scarce room, bursts': {
+    ...scarce,
+    bursts: [{ kind: 'proof', from: 5, to: 8, factor: 1.7 }, { kind: 'script', from: 13, to: 17, factor: 2.6 }, { kind: 'portrait', from: 20, to: 24, factor: 1.7 }]
+  },
+  'uneven workers, bursts': {
+    ...uneven,
+    bursts: [{ kind: 'script', from: 5, to: 9, factor: 2.6 }, { kind: 'proof', from: 14, to: 18, factor: 2 }, { kind: 'portrait', from: 20, to: 24, factor: 2 }]
+  },
   'song huong large, bursts': {
     ...large,
     bursts: [{ kind: 'proof', from: 5, to: 11, factor: 2.1 }, { kind: 'portrait', from: 8, to: 12, factor: 2.8 }]
--- a/measurements/step-load-simulation.ts
+++ b/measurements/step-load-simulation.ts
@@ -1,6 +1,6 @@
 /** Simulates a fleet and a load of step jobs around the scheduling policy for step jobs. */
 import {
-  apply, initialState, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker,
+  apply, initialState, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker, WorkerPaceTracker,
   type RunKey, type RunProgress, type State, type StepJob, type StepPolicy, type StepSpecification, type Transaction
 } from '../src/core/index'
 import type { JobKind, LoadProfile } from './load-profiles'
@@ -20,6 +20,8 @@
 interface SimulatedRun {
   key: RunKey
   incarnation: string
+  /** No member of a gang of several tasks. */
+  single: boolean
   done: number
   work: number
   slowdown: number
@@ -63,6 +65,7 @@
   private readonly jobs = new Map<string, SubmittedJob>()
   private readonly endTimes = new Map<string, number>()
   private readonly trust = SuspectTracker.create()
+  private readonly pace = WorkerPaceTracker.create()
   private readonly random: Random
   private lostProcessorSeconds = 0
   private starts = 0
@@ -84,6 +87,7 @@
       this.now = start + seconds * 1_000
       if (seconds < ARRIVAL_SECONDS) this.submitArrivals(seconds)
       this.advance(seconds)
+      if (Number.isInteger(Math.round(seconds * 1_000) / 1_000)) this.learnPace()
       if (Math.abs(seconds - (this.load.powerLossAt ?? -1)) < TICK_MILLISECONDS / 2_000) this.failAllRuns()
       this.decide()
     }
@@ -191,6 +195,11 @@
     }
   }
 
+  private learnPace (): void {
+    const tasks = [...this.runs].filter(([, { single }]) => single).map(([run, { key, incarnation }]) => ({ run, step: `${key.job}.${key.step}`, incarnation, percent: this.progress.get(run)?.percent ?? 0 }))
+    this.pace.update(tasks, this.now)
+  }
+
   private failAllRuns (): void {
     for (const [name, run] of [...this.runs]) this.endRun(name, run, RunOutcome.Lost)
   }
@@ -214,7 +223,7 @@
 
   private decide (): void {
     for (let round = 0; round < 50; round++) {
-      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true }
+      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true, paces: this.pace.paces }
       const decisions = scheduleSteps(this.state.steps, view, this.policy)
       if (decisions.length === 0) return
       for (const decision of decisions) {
@@ -239,6 +248,7 @@
       const run: SimulatedRun = {
         key,
         incarnation,
+        single: !specification.gang,
         done: saved,
         checkpointedWork: saved,
         work: submitted.work[step]?.[task] ?? 1_000,
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -13,6 +13,7 @@
 import { Machine, recordLines } from './machine'
 import { ControlMetrics } from './metrics'
 import { claimDataFolder } from './owner'
+import { PaceMonitor } from './pace-monitor'
 import { RecordStore } from './record-store'
 import {
   AgreementRefusal, MemberChangeKind, Replica, AgreementRole, type MemberChange, type MemberChangeError, type ReplicaRefusal
@@ -63,6 +64,8 @@
 const CHECKPOINT_INTERVAL_MILLISECONDS = 1_000
 /** Interval at which reasons for waiting are logged, in milliseconds. */
 const WAITING_LOG_INTERVAL_MILLISECONDS = 1_000
+/** Interval at which the pace of workers is learned, in milliseconds. */
+const PACE_INTERVAL_MILLISECONDS = 1_000
 /** Interval of log entries that count refusals, in milliseconds. */
 const REFUSALS_INTERVAL_MILLISECONDS = 1_000
 
@@ -106,6 +109,7 @@
   private readonly supervisors: Supervisors
   private readonly followers: ConfigurationFollowers
   private readonly decisionLog: DecisionLog
+  private readonly pace: PaceMonitor
   private readonly clock = LeaderClock.create()
   private readonly waiters = JobWaiters.create()
   private readonly metrics = ControlMetrics.create({
@@ -120,6 +124,7 @@
     openStepJobs: () => this.machine.committed.steps.open.size,
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
+    slowWorkers: () => this.pace.slowCount,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
     documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
@@ -156,6 +161,7 @@
       leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS,
       stopMilliseconds: options.workerStopMilliseconds ?? DEFAULT_WORKER_STOP_MILLISECONDS
     })
+    this.pace = PaceMonitor.create(options.log)
     this.decisionLog = DecisionLog.create({ supervisors: this.supervisors, metrics: this.metrics, ...shared })
     this.followers = ConfigurationFollowers.create(shared.committed, shared.term, () => this.controlHosts())
   }
@@ -206,6 +212,7 @@
       setInterval(() => { this.followers.push([]) }, CONFIRM_INTERVAL_MILLISECONDS),
       setInterval(() => { this.flushRefusals() }, REFUSALS_INTERVAL_MILLISECONDS),
       setInterval(() => { this.saveCheckpoints() }, CHECKPOINT_INTERVAL_MILLISECONDS),
+      setInterval(() => { if (this.machine.leads) this.pace.update(this.machine.head, this.supervisors.fleetView()) }, PACE_INTERVAL_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.decisionLog.logWaiting(this.machine.head, this.supervisors.fleetView()) }, WAITING_LOG_INTERVAL_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_INTERVAL_MILLISECONDS)
     ]
@@ -269,11 +276,12 @@
     this.clock.begin(this.machine.committed.time)
     this.agents.beginLeading(this.clock.now())
     this.supervisors.beginLeading()
+    this.pace.clear()
   }
 
   private decide (head: State): readonly Transaction[] {
     const now = this.clock.now()
-    const decisions = decide(head, { now, silent: this.agents.silentWorkers(now), fleet: this.supervisors.fleetView() })
+    const decisions = decide(head, { now, silent: this.agents.silentWorkers(now), fleet: { ...this.supervisors.fleetView(), paces: this.pace.paces } })
     for (const decision of decisions) this.decisionLog.logDecision(head, decision)
     return decisions
   }
--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -2,6 +2,7 @@
  * The parts of the scheduling policy for step jobs that an experiment can switch off by name, to measure what each is worth.
  * Deployments always run {@link stepPolicy}; there is no setting for it.
  */
+import { slowWorkers } from './learning/worker-pace'
 import type { UrgentReserve } from './urgent-reserve'
 import type { WaitingGang } from './waiting-gangs'
 
@@ -9,20 +10,40 @@
 export interface StepPolicy {
   /** Whether a gang starts in its turn; otherwise it starts after the other gangs of its priority. */
   readonly startsInTurn: (waiting: WaitingGang, reserve: UrgentReserve) => boolean
+  /** The workers that are avoided or preferred for their pace, with that pace. */
+  readonly slowWorkers: (paces: ReadonlyMap<string, number>) => ReadonlyMap<string, number>
+  /** How long a gang below the highest priority waits before it may stop lower work that loses nothing, as a multiple of its estimate. */
+  readonly maxWaitEstimates: number
+  /** How long such a gang waits before it reserves workers, as a multiple of its estimate. */
+  readonly reserveAfterEstimates: number
 }
 
 /** The policy in force. */
-export const stepPolicy: StepPolicy = { startsInTurn: (waiting, reserve) => reserve.admits(waiting) }
+export const stepPolicy: StepPolicy = {
+  startsInTurn: (waiting, reserve) => reserve.admits(waiting),
+  slowWorkers,
+  maxWaitEstimates: 0.5,
+  reserveAfterEstimates: 4
+}
 
 /** A mechanism of the policy that can be switched off. */
 export enum Mechanism {
   /** Work without checkpoints that would use up the reserve for urgent work yields to other work of its priority. */
-  UrgentReserve = 'urgent-reserve'
+  UrgentReserve = 'urgent-reserve',
+  /** Work that would be late on a slow worker keeps to the others. */
+  WorkerPace = 'worker-pace',
+  /** Gangs below the highest priority stop lower work that loses nothing. */
+  WideWork = 'wide-work',
+  /** Gangs below the highest priority reserve workers. */
+  Reservations = 'reservations'
 }
 
 /** What takes the place of each mechanism where it is off. */
 const replacements: Readonly<Record<Mechanism, Partial<StepPolicy>>> = {
-  [Mechanism.UrgentReserve]: { startsInTurn: () => true }
+  [Mechanism.UrgentReserve]: { startsInTurn: () => true },
+  [Mechanism.WorkerPace]: { slowWorkers: () => new Map() },
+  [Mechanism.WideWork]: { maxWaitEstimates: Infinity },
+  [Mechanism.Reservations]: { reserveAfterEstimates: Infinity }
 }
 
 /**
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -10,6 +10,8 @@
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { planPreemption, releaseStopping, victimsFor, type PreemptionPlan } from './preemption'
 import { findRunsToStop, type RunProgress } from './runs-to-stop'
+import { Reservations } from './reservations'
+import { PacePreference } from './pace-preference'
 import { stepPolicy, type StepPolicy } from './policy'
 
 export type { RunProgress }
@@ -24,6 +26,8 @@
   readonly complete: boolean
   /** When this leader last saw each incarnation alive, in milliseconds since the epoch; absent where all count as alive. */
   readonly aliveAt?: ReadonlyMap<string, number>
+  /** Learned pace by incarnation, 1 for a typical worker; absent where it is not known. */
+  readonly paces?: ReadonlyMap<string, number>
 }
 
 /** Time after which a guaranteed gang is spread over several racks; leaves half of the time allowed for a reclaim. */
@@ -62,6 +66,9 @@
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
   private readonly isolation: CrashIsolation
+  private readonly pace: PacePreference
+  /** Absent while no gang has reserved. */
+  private reservations?: Reservations
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -70,6 +77,7 @@
     this.guaranteed = guaranteedJobs(state)
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
     this.isolation = CrashIsolation.of(state, view)
+    this.pace = PacePreference.of(policy.slowWorkers(view.paces ?? new Map()))
   }
 
   static create (state: StepState, view: FleetView, policy: StepPolicy): SchedulingRound {
@@ -96,7 +104,32 @@
   private startOrPreempt (gang: WaitingGang, unplaceable: Set<string>): void {
     const placementClass = this.placementClass(gang)
     if (unplaceable.has(placementClass)) return
-    if (!this.start(gang) && !this.preempt(gang)) unplaceable.add(placementClass)
+    if (this.startOrPreemptAtUsualPace(gang) || this.start(gang) || this.preempt(gang)) return
+    unplaceable.add(placementClass)
+    this.reserveWorkers(gang)
+  }
+
+  /** Reserves workers for a gang of several tasks that has waited for too long. Urgent work stops other work instead. */
+  private reserveWorkers (waiting: WaitingGang): void {
+    const { queue, gang, job, step } = waiting
+    const waited = this.view.now - job.acceptedAt
+    if (queue.priority === 0 || gang.size === 1 || waited <= step.estimateMilliseconds * this.policy.reserveAfterEstimates) return
+    this.reservations ??= Reservations.create(this.state, this.view, this.freeCapacity)
+    if (!this.reservations.mayReserve) return
+    const workers = this.isolation.open(this.eligible(waiting))
+    this.reservations.reserve(waiting, this.pace.order(waiting, this.groups(waiting, workers), this.view.now), this.expectedCapacity)
+  }
+
+  /** For urgent work that would be late on a slow worker, stopping work that loses nothing on another worker is better than a start there. */
+  private startOrPreemptAtUsualPace (gang: WaitingGang): boolean {
+    if (gang.queue.priority !== 0 || !this.pace.needsUsualPace(gang, this.view.now)) return false
+    const workers = this.pace.withoutSlow([this.eligible(gang)]).flat()
+    return this.start(gang, workers) || this.preempt(gang, workers, (plan) => plan.victims.every(({ losesWork }) => !losesWork))
+  }
+
+  /** Gangs of several tasks would otherwise wait for as long as single tasks of lower priority take each place that becomes free. */
+  private mayStopLowerWork ({ queue, gang, job, step }: WaitingGang): boolean {
+    return queue.priority === 0 || (gang.size > 1 && this.view.now - job.acceptedAt > step.estimateMilliseconds * this.policy.maxWaitEstimates)
   }
 
   private accelerators (): FleetAccelerators {
@@ -110,8 +143,8 @@
   }
 
   /** Returns false where there is not enough free capacity. */
-  private start (waiting: WaitingGang): boolean {
-    const workers = this.isolation.open(this.eligible(waiting))
+  private start (waiting: WaitingGang, eligible = this.eligible(waiting)): boolean {
+    const workers = this.isolation.open(eligible)
     const suspect = isCrashSuspect(waiting.gang)
     const placements = this.place(waiting, workers, suspect ? (group) => this.isolation.quiet(group) : undefined)
     if (placements === undefined) return suspect && this.hold(waiting, workers)
@@ -136,14 +169,26 @@
 
   /** Tries the groups in order, each split by preference. */
   private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[], split = (group: WorkerIncarnation[]) => [group]): TaskPlacement[] | undefined {
-    const tasks = taskPositions(waiting)
-    for (const group of this.groups(waiting, workers).flatMap(split)) {
-      const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity)
+    for (const group of this.pace.order(waiting, this.groups(waiting, workers), this.view.now).flatMap(split)) {
+      const placements = this.placeWithin(waiting, group)
       if (placements !== undefined) return placements
     }
     return undefined
   }
 
+  /** Urgent work, and work that may backfill, also uses reserved capacity. */
+  private placeWithin (waiting: WaitingGang, group: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
+    const { reservations } = this
+    if (reservations === undefined || waiting.queue.priority === 0 || reservations.mayBackfill(waiting)) {
+      const placements = placeTasks(waiting.requirements, taskPositions(waiting), group, this.freeCapacity)
+      if (placements !== undefined) reservations?.recordAllocation(waiting, placements)
+      return placements
+    }
+    const placements = reservations.placeBeside(waiting, group)
+    for (const { incarnation } of placements ?? []) this.freeCapacity.allocate(incarnation, waiting.requirements)
+    return placements
+  }
+
   /** The racks, then all workers together where no rack could ever hold the gang or where it has waited too long for one. */
   private groups (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): WorkerIncarnation[][] {
     const { step } = waiting
@@ -171,19 +216,19 @@
    */
   private placementClass (waiting: WaitingGang): string {
     const { key, gang, queue, step, requirements, guaranteed } = waiting
-    const scope = [isCrashSuspect(gang), queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
+    const scope = [isCrashSuspect(gang), queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting), this.mayStopLowerWork(waiting), this.pace.needsUsualPace(waiting, this.view.now), this.reservations?.mayBackfill(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
     return [...scope, gang.size, requirements.processors, requirements.memoryMegabytes, requirements.accelerators, requirements.losesWork, ownStep].join(' ')
   }
 
   /** Stops gangs to free capacity for an urgent gang, and reserves that capacity against the gangs later in the order. */
-  private preempt (waiting: WaitingGang): boolean {
-    if (waiting.queue.priority !== 0) return false
-    const workers = this.isolation.open(this.eligible(waiting))
+  private preempt (waiting: WaitingGang, eligible = this.eligible(waiting), accepts = (_plan: PreemptionPlan): boolean => true): boolean {
+    if (!this.mayStopLowerWork(waiting)) return false
+    const workers = this.isolation.open(eligible)
     const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
     const plans = this.groups(waiting, workers)
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
-      .filter((plan): plan is PreemptionPlan => plan !== undefined)
+      .filter((plan): plan is PreemptionPlan => plan !== undefined && accepts(plan))
     const best = plans.sort((one, other) => one.cost - other.cost)[0]
     if (best === undefined) return false
     this.applyPlan(waiting, best)
@@ -210,6 +255,7 @@
       this.freeCapacity.allocate(incarnation, waiting.requirements)
       this.expectedCapacity.allocate(incarnation, waiting.requirements)
     }
+    this.reservations?.recordAllocation(waiting, plan.placements)
   }
 }
 
--- a/src/core/steps/waiting-gangs.ts
+++ b/src/core/steps/waiting-gangs.ts
@@ -95,8 +95,19 @@
   return forecast === CompletionForecast.Worthless && queue.priority > 0 ? Infinity : queue.priority
 }
 
-function forecastOf (job: StepJob, queue: Queue, now: number): CompletionForecast {
-  const duration = now + remainingCriticalPath(job) - job.acceptedAt
+/**
+ * Forecasts when the job of a gang would complete if its remaining work started now on workers of a given pace.
+ * @param waiting - the gang
+ * @param now - milliseconds since the epoch
+ * @param pace - pace of the workers, 1 for the usual one
+ * @returns the forecast
+ */
+export function forecastAtPace (waiting: WaitingGang, now: number, pace: number): CompletionForecast {
+  return forecastOf(waiting.job, waiting.queue, now, pace)
+}
+
+function forecastOf (job: StepJob, queue: Queue, now: number, pace = 1): CompletionForecast {
+  const duration = now + remainingCriticalPath(job) / pace - job.acceptedAt
   const objective = objectiveMilliseconds(job, queue)
   if (duration <= objective) return CompletionForecast.OnTime
   return duration <= MAX_USEFUL_OBJECTIVES * objective ? CompletionForecast.Late : CompletionForecast.Worthless
