Let operators evacuate a data centre: state, log entries and the rule

Cause: nothing could keep work away from a data centre whose workers run no agent order; each worker had to leave by itself.

Change: two log entries start and finish an evacuation. They carry the change count that the data centre had when the order was received, so that a delayed order cannot undo the opposite one.

--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -6,6 +6,7 @@
 import { acceptJob, cancelJobs, endAttempt, endJobs, expire, finishJob, refuse, releaseJob, reserveJob, startJob, stopJob } from './jobs'
 import type { RecordLine } from './record'
 import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
+import { finishEvacuation, startEvacuation } from './steps/evacuations'
 import { announceIncarnation, leaveIncarnation, loseIncarnation, resizeIncarnation } from './steps/incarnations'
 import { endRuns, saveCheckpoints, startGang, stopGang } from './steps/runs'
 import { StepTransactionKind } from './steps/transactions'
@@ -55,7 +56,9 @@
   [StepTransactionKind.ResizeIncarnation]: resizeIncarnation,
   [StepTransactionKind.LeaveIncarnation]: leaveIncarnation,
   [StepTransactionKind.LoseIncarnation]: loseIncarnation,
-  [StepTransactionKind.SaveCheckpoints]: saveCheckpoints
+  [StepTransactionKind.SaveCheckpoints]: saveCheckpoints,
+  [StepTransactionKind.StartEvacuation]: startEvacuation,
+  [StepTransactionKind.FinishEvacuation]: finishEvacuation
 }
 
 /**
--- a/src/core/record.ts
+++ b/src/core/record.ts
@@ -56,10 +56,12 @@
   /** Capacity of the worker before and after a change of it. */
   readonly capacityBefore?: Resources
   readonly capacityAfter?: Resources
+  /** The evacuated or returned data centre. */
+  readonly dataCentre?: string
   readonly team?: string
   /** Identifier of the writer's request. */
   readonly request?: string
-  /** Number of the document after a change of configuration. */
+  /** Number of the document after a change of configuration, or of a change of evacuations. */
   readonly number?: number
   /** The changed sections with their numbers before. */
   readonly sections?: ReadonlyArray<{ readonly section: Section, readonly before: number }>
--- a/src/core/step-statement.ts
+++ b/src/core/step-statement.ts
@@ -57,7 +57,8 @@
   [StopReason.Preempted]: 'an urgent job needs the capacity',
   [StopReason.WorkerLeaving]: 'one of its workers leaves',
   [StopReason.Stalled]: 'it made no progress',
-  [StopReason.Incomplete]: 'not all of its tasks began in time'
+  [StopReason.Incomplete]: 'not all of its tasks began in time',
+  [StopReason.Evacuated]: 'a data centre was evacuated before all of its tasks had begun there'
 }
 
 function onGangStopped (writer: StatementWriter, event: StatementEvent): void {
--- a/src/core/steps/eligible-workers.ts
+++ b/src/core/steps/eligible-workers.ts
@@ -1,10 +1,13 @@
 /** Selects the workers on which a gang may be placed and groups them by preference. */
 import type { Queue } from './document'
+import { heldBackWorkers, isEvacuated } from './evacuations'
 import type { WorkerIncarnation, StepSpecification, StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
 
 /** Workers to exclude or avoid, whatever capacity they have free. */
 export interface PlacementConstraints {
+  /** Milliseconds since the epoch. */
+  readonly now: number
   /** Incarnations whose last heartbeat is overdue; they get no new work. */
   readonly silent: ReadonlySet<string>
   /** Incarnations on which runs fail or stall; used only when no other worker is eligible. */
@@ -20,7 +23,10 @@
  */
 export function eligibleWorkers (state: StepState, waiting: WaitingGang, constraints: PlacementConstraints): WorkerIncarnation[] {
   const { queue, step } = waiting
-  const workers = [...state.incarnations.values()].filter((worker) => isEligible(worker, queue, step, constraints))
+  const heldBack = heldBackWorkers(state, queue, constraints.now)
+  const workers = [...state.incarnations.values()].filter((worker) => {
+    return isEligible(worker, queue, step, constraints) && !isEvacuated(state, worker.dataCentre) && !heldBack.has(worker.incarnation)
+  })
   const trusted = workers.filter(({ incarnation }) => !constraints.suspects.has(incarnation))
   return (trusted.length > 0 ? trusted : workers).sort((one, other) => one.incarnation < other.incarnation ? -1 : 1)
 }
--- a/src/core/steps/free-capacity.ts
+++ b/src/core/steps/free-capacity.ts
@@ -76,6 +76,16 @@
     return new FreeCapacity(new Map(capacities), this.workers, new Map(this.placed))
   }
 
+  /**
+   * Adds workers as if nothing ran on them.
+   * @param workers - the workers
+   * @returns the capacity of the workers that it had and of these
+   */
+  withIdle (workers: readonly WorkerIncarnation[]): FreeCapacity {
+    const idle = workers.map((worker): [string, WorkerCapacity] => [worker.incarnation, { free: worker, uncheckpointed: 0 }])
+    return new FreeCapacity(new Map([...this.byWorker, ...idle]), this.workers, new Map(this.placed))
+  }
+
   /** Free resources of a worker. */
   freeOn (incarnation: string): Resources {
     return this.capacityOf(incarnation).free
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,4 +1,7 @@
 export { assessCrash, CrashEvidence, noSuspects, type CrashAssessment, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
+export {
+  evacuatedDataCentres, evacuatedRuns, evacuationCount, isDataCentreName, isEvacuated, MAX_DATA_CENTRE_NAME_LENGTH, MAX_EVACUATED_DATA_CENTRES, RETURN_RAMP_MILLISECONDS, runsToAbandon
+} from './evacuations'
 export * from './model'
 export * from './resources'
 export * from './run'
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -63,7 +63,9 @@
   /** None of its members made progress in time. */
   Stalled = 'stalled',
   /** Not all members were running in time. */
-  Incomplete = 'incomplete'
+  Incomplete = 'incomplete',
+  /** A member had not begun when the data centre of its worker was evacuated. */
+  Evacuated = 'evacuated'
 }
 
 /** Why a job failed, where its attempts are not the reason. */
@@ -177,6 +179,26 @@
   readonly aliveAt?: number
 }
 
+/** The last change of the evacuation of a data centre. */
+export interface DataCentreEvacuation {
+  readonly dataCentre: string
+  /** Number of this change, counted over all data centres. */
+  readonly count: number
+  /** False where the change ended the evacuation. */
+  readonly evacuated: boolean
+  /** Milliseconds since the epoch. */
+  readonly changedAt: number
+}
+
+/** Evacuated data centres, and those that returned last. */
+export interface EvacuationState {
+  /** Number of changes so far, over all data centres. */
+  readonly changes: number
+  /** Highest number of a change that is no longer kept. */
+  readonly forgotten: number
+  readonly dataCentres: ImmutableMap<string, DataCentreEvacuation>
+}
+
 /** The part of the replicated state that concerns step jobs. */
 export interface StepState {
   readonly document?: NumberedDocument
@@ -186,6 +208,8 @@
   readonly incarnations: ImmutableMap<string, WorkerIncarnation>
   /** Losses of the last while, oldest first. */
   readonly losses: readonly IncarnationLoss[]
+  /** Absent until the first evacuation. */
+  readonly evacuations?: EvacuationState
 }
 
 /** The zero of {@link addResources}. */
--- a/src/core/steps/runs-to-stop.ts
+++ b/src/core/steps/runs-to-stop.ts
@@ -1,4 +1,5 @@
 /** Finds runs to stop: those that stall, that did not start on all workers in time, or whose worker is leaving. */
+import { beginsInEvacuated } from './evacuations'
 import { StopReason, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
 import { StepTransactionKind, type StopGang } from './transactions'
 import { runName } from './run'
@@ -52,6 +53,7 @@
   const { run } = gang
   const step = job.specification.steps[number]
   if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return undefined
+  if (beginsInEvacuated(state, job, number, gang, (key) => view.progress.get(runName(key))?.running === true)) return StopReason.Evacuated
   const remaining = run.members.filter(({ ended }) => !ended)
   if (remaining.every(({ incarnation }) => view.silent.has(incarnation))) return undefined
   const reported = remaining.map(({ task }) => view.progress.get(runName({ job: job.identifier, step: number, task, attempt: run.attempt })))
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -4,6 +4,7 @@
 import { EffectKind } from '../effect'
 import { notRunRefusal, RefusalCode, type Refusal } from '../verdict'
 import { isPastCrashBound } from './crash-evidence'
+import { isEvacuated } from './evacuations'
 import { endStepJob, markGangStopping, queueOfJob, setStepJob } from './jobs'
 import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type WorkerIncarnation, type StepJob, type StepSpecification } from './model'
 import { FreeCapacity, requirementsOf } from './free-capacity'
@@ -42,6 +43,7 @@
 function allocateTask (draft: Draft, key: RunKey, { incarnation }: TaskPlacement, step: StepSpecification): Outcome {
   const worker = draft.steps.incarnations.get(incarnation)
   if (worker === undefined || worker.leaving) return conflict('a worker is lost or leaving')
+  if (isEvacuated(draft.steps, worker.dataCentre)) return conflict(`data centre ${worker.dataCentre} is evacuated`)
   if (!FreeCapacity.measure([worker]).canHost(incarnation, requirementsOf(key.job, key.step, step))) return conflict(`worker ${worker.worker} cannot take one more task of the step`)
   setIncarnation(draft, { ...worker, runs: worker.runs.set(runName(key), key), used: addResources(worker.used, step) })
   draft.addEffect({ kind: EffectKind.IncarnationChanged, incarnation })
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -1,6 +1,7 @@
 /** One scheduling round for step jobs: runs to stop, or else gangs to start and to preempt, in scheduling order. */
 import { isCrashSuspect } from './crash-evidence'
 import { CrashIsolation } from './crash-isolation'
+import { isEvacuated } from './evacuations'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import { addResources, StopReason, type WorkerIncarnation, type StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
@@ -16,8 +17,6 @@
 
 /** What the leader knows about workers and runs that is not in the replicated state. */
 export interface FleetView extends PlacementConstraints {
-  /** Milliseconds since the epoch. */
-  readonly now: number
   /** Last reported progress of each run, by name. */
   readonly progress: ReadonlyMap<string, RunProgress>
   /** False until agents have had time to report to a new leader: before that, a run without a report must not be stopped as missing. */
@@ -57,7 +56,7 @@
   private readonly expectedCapacity: FreeCapacity
   private readonly decisions: StepTransaction[] = []
   private readonly stopped = new Set<string>()
-  /** Eligible workers by service and label. */
+  /** Eligible workers by service, label and priority. */
   private readonly workers = new Map<string, WorkerIncarnation[]>()
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
@@ -102,7 +101,7 @@
   private accelerators (): FleetAccelerators {
     let [total, uncheckpointed] = [0, 0]
     for (const worker of this.state.incarnations.values()) {
-      if (this.view.silent.has(worker.incarnation)) continue
+      if (this.view.silent.has(worker.incarnation) || isEvacuated(this.state, worker.dataCentre)) continue
       total += worker.accelerators
       uncheckpointed += measureWorker(this.state, worker).uncheckpointed
     }
@@ -159,7 +158,7 @@
   }
 
   private eligible (waiting: WaitingGang): WorkerIncarnation[] {
-    const key = `${waiting.queue.service} ${waiting.step.label}`
+    const key = `${waiting.queue.service} ${waiting.step.label} ${waiting.queue.priority}`
     const known = this.workers.get(key) ?? eligibleWorkers(this.state, waiting, this.view)
     this.workers.set(key, known)
     return known
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -1,7 +1,7 @@
 /** The part of a snapshot that concerns step jobs. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument } from './document'
-import { initialStepState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
+import { initialStepState, type DataCentreEvacuation, type EvacuationState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
 import { runName, type RunKey } from './run'
 
 /** An incarnation with its runs as a list. */
@@ -17,6 +17,13 @@
   readonly lives: readonly StoredIncarnation[]
   /** Absent for none. */
   readonly losses?: readonly IncarnationLoss[]
+  /** Absent until the first evacuation. */
+  readonly evacuations?: StoredEvacuations
+}
+
+/** The state of evacuations with the data centres as a list. */
+interface StoredEvacuations extends Omit<EvacuationState, 'dataCentres'> {
+  readonly dataCentres: readonly DataCentreEvacuation[]
 }
 
 /**
@@ -25,13 +32,14 @@
  * @returns the stored form
  */
 export function toStoredSteps (state: StepState): StoredStepState {
-  const { document, jobs, open, incarnations, losses } = state
+  const { document, jobs, open, incarnations, losses, evacuations } = state
   return {
     document,
     jobs: valuesByKey(jobs),
     open: open.toArray().sort(),
     lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) })),
-    ...losses.length > 0 && { losses }
+    ...losses.length > 0 && { losses },
+    ...evacuations !== undefined && { evacuations: { ...evacuations, dataCentres: valuesByKey(evacuations.dataCentres) } }
   }
 }
 
@@ -47,10 +55,15 @@
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
     open: ImmutableSet(stored.open),
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
-    losses: stored.losses ?? []
+    losses: stored.losses ?? [],
+    ...stored.evacuations !== undefined && { evacuations: fromStoredEvacuations(stored.evacuations) }
   }
 }
 
+function fromStoredEvacuations ({ changes, forgotten, dataCentres }: StoredEvacuations): EvacuationState {
+  return { changes, forgotten, dataCentres: ImmutableMap(dataCentres.map((change) => [change.dataCentre, change])) }
+}
+
 function valuesByKey<Value> (map: ImmutableMap<string, Value>): Value[] {
   return [...map.entries()].sort(([one], [other]) => one < other ? -1 : 1).map(([, value]) => value)
 }
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -15,7 +15,9 @@
   ResizeIncarnation = 'resize-incarnation',
   LeaveIncarnation = 'leave-life',
   LoseIncarnation = 'lose-life',
-  SaveCheckpoints = 'save-checkpoints'
+  SaveCheckpoints = 'save-checkpoints',
+  StartEvacuation = 'start-evacuation',
+  FinishEvacuation = 'finish-evacuation'
 }
 
 /** Replaces the queue document; the one with the highest number is in force. */
@@ -133,6 +135,25 @@
   readonly checkpoints: readonly RunCheckpoint[]
 }
 
+/** Fields of the entries that start or finish the evacuation of a data centre. */
+export interface EvacuationChange extends TransactionBase {
+  readonly dataCentre: string
+  /** The data centre's count when the order was received; another one means that it has changed since. */
+  readonly changeCount: number
+  /** The team that gave the order; absent where it is not known. */
+  readonly team?: string
+}
+
+/** Requests that no more work is sent to the workers of a data centre. */
+export interface StartEvacuation extends EvacuationChange {
+  readonly kind: StepTransactionKind.StartEvacuation
+}
+
+/** Withdraws that request. */
+export interface FinishEvacuation extends EvacuationChange {
+  readonly kind: StepTransactionKind.FinishEvacuation
+}
+
 /** See {@link StepTransactionKind}. */
 export type StepTransaction =
-  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceIncarnation | ResizeIncarnation | LeaveIncarnation | LoseIncarnation | SaveCheckpoints
+  ReplaceDocument | SubmitSteps | CancelSteps | StartGang | StopGang | EndRuns | AnnounceIncarnation | ResizeIncarnation | LeaveIncarnation | LoseIncarnation | SaveCheckpoints | StartEvacuation | FinishEvacuation
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -1,5 +1,6 @@
 /** Explains why gangs wait, for the log. Has no influence on scheduling. */
 import { isCrashSuspect } from './crash-evidence'
+import { heldBackWorkers, isEvacuated } from './evacuations'
 import { hasLabel, eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import type { WorkerIncarnation, StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
@@ -22,7 +23,11 @@
   CrashSuspect = 'crash-suspect',
   /** There is not enough free capacity, and its account's guaranteed accelerators are in use. */
   GuaranteeUsedUp = 'guarantee-used-up',
-  NoFreeCapacity = 'no-room'
+  NoFreeCapacity = 'no-room',
+  /** The workers that may be used do not suffice; with those in evacuated data centres, if they were idle, they would. */
+  Evacuated = 'data-centre-evacuated',
+  /** The workers that may be used do not suffice; with those that a returned data centre has not opened yet, they would. */
+  Returning = 'data-centre-returning'
 }
 
 /** A waiting gang with the reason for which it waits. */
@@ -40,7 +45,7 @@
  * @param view - the time, and the workers to exclude or avoid
  * @returns these gangs in scheduling order
  */
-export function explainWaiting (state: StepState, view: PlacementConstraints & { readonly now: number }): ExplainedGang[] {
+export function explainWaiting (state: StepState, view: PlacementConstraints): ExplainedGang[] {
   const capacity = FreeCapacity.measure(state.incarnations.values())
   const explained = new Map<string, ExplainedGang>()
   for (const waiting of waitingGangs(state, guaranteedJobs(state), view.now)) {
@@ -57,6 +62,8 @@
   if (present.length === 0) return WaitingReason.NoWorker
   if (!present.some((worker) => hasLabel(worker, step))) return WaitingReason.NoLabel
   const workers = eligibleWorkers(state, waiting, constraints)
+  const closed = closedReason(state, waiting, constraints, workers, capacity)
+  if (closed !== undefined) return closed
   if (workers.length === 0) return WaitingReason.WorkersSilent
   if (workers.every(({ incarnation }) => constraints.suspects.has(incarnation))) return WaitingReason.WorkersSuspected
   if (prefersOneRack(step) && rackGroups(step, workers).length > 1 && fitsAcrossRacks(waiting, workers, capacity)) return WaitingReason.NoRack
@@ -64,6 +71,23 @@
   return queue.priority === 0 && !guaranteed ? WaitingReason.GuaranteeUsedUp : WaitingReason.NoFreeCapacity
 }
 
+/** Whether a gang that does not fit now would fit if evacuated or returning data centres were open. */
+function closedReason (state: StepState, waiting: WaitingGang, { silent, now }: PlacementConstraints, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): WaitingReason | undefined {
+  if (state.evacuations === undefined) return undefined
+  const { queue, step } = waiting
+  const closed = [...state.incarnations.values()].filter((worker) => worker.service === queue.service && !worker.leaving && !silent.has(worker.incarnation) && hasLabel(worker, step))
+  const heldBack = heldBackWorkers(state, queue, now)
+  const returning = closed.filter(({ incarnation }) => heldBack.has(incarnation))
+  const evacuated = closed.filter(({ dataCentre }) => isEvacuated(state, dataCentre))
+  if (returning.length + evacuated.length === 0 || fitsAcrossRacks(waiting, workers, capacity)) return undefined
+  const suffices = (others: readonly WorkerIncarnation[]): boolean => {
+    return others.length > 0 && fitsAcrossRacks(waiting, [...workers, ...others], capacity.copy(workers).withIdle(others))
+  }
+  if (workers.length === 0) return returning.length > 0 ? WaitingReason.Returning : WaitingReason.Evacuated
+  if (suffices(returning)) return WaitingReason.Returning
+  return suffices([...returning, ...evacuated]) ? WaitingReason.Evacuated : undefined
+}
+
 function fitsAcrossRacks (waiting: WaitingGang, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): boolean {
   return placeTasks(waiting.requirements, taskPositions(waiting), workers, capacity.copy(workers)) !== undefined
 }
