Keep jobs of one gang out of evacuated data centres

Cause: the placement of these jobs knew only the maintenance section.

Change: placement and the homes of guarantees treat an evacuated data centre as drained. What runs there goes on; a reservation there is released, the log refuses to reserve or to start there, and an attempt that its agent does not run when it connects again is stopped instead of being started.

--- a/src/core/account-statement.ts
+++ b/src/core/account-statement.ts
@@ -347,7 +347,8 @@
   [Reason.MadeRoomForUrgent]: 'an urgent job needs the capacity',
   [Reason.MadeRoomForGang]: 'the oldest large job needs the capacity',
   [Reason.MemberLost]: 'one of its workers was lost',
-  [Reason.WorkerLeaving]: 'one of its workers leaves'
+  [Reason.WorkerLeaving]: 'one of its workers leaves',
+  [Reason.Evacuated]: 'a data centre was evacuated before it had begun there'
 }
 
 function stopReasonText (reason: string | undefined): string {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,5 @@
 import { Level, type Maintenance } from './document'
-import { isUsable } from './guarantees'
+import { isUsable, placementMaintenance } from './guarantees'
 import { addResources, homeAllocations, jobAllocation, noResources, type WorkerResources, type HomeAllocation, type JobAllocation } from './allocations'
 import type { State, WorkerUsage } from './state'
 import { groupOf } from './topology'
@@ -116,8 +116,8 @@
 
   private update (state: State, isNew: boolean): void {
     const { lastState } = this
-    const { maintenance } = state.configuration.document
-    const all = isNew || lastState.homes !== state.homes || lastState.configuration.document.maintenance !== maintenance
+    const maintenance = placementMaintenance(state)
+    const all = isNew || lastState.homes !== state.homes || placementMaintenance(lastState) !== maintenance
     const homes = homeAllocations(state.homes)
     for (const capacity of this.changed) capacity.stale = true
     this.changed.clear()
--- a/src/core/guarantees.ts
+++ b/src/core/guarantees.ts
@@ -6,6 +6,7 @@
 import { binsOf, homeFits, packHomes, takeFromBin, wantedHomes, type Bin, type Home, type WantedHome } from './homes'
 import { Reason, type Job, type Member } from './job'
 import type { State } from './state'
+import { evacuatedDataCentres } from './steps/evacuations'
 import { groupOf } from './topology'
 import { TransactionKind, type SetHomes } from './transaction'
 import { notRunRefusal, RefusalCode, type Refusal } from './verdict'
@@ -156,6 +157,26 @@
     maintenance.racks.includes(groupOf[Level.Rack](worker)) || maintenance.dataCentres.includes(worker.dataCentre)
 }
 
+/** The section that {@link placementMaintenance} made last of each state of evacuations. */
+const maintenanceCache = new WeakMap<object, { readonly from: Maintenance, readonly made: Maintenance }>()
+
+/**
+ * The workers that get no new work: those of the maintenance section and those in evacuated data centres.
+ * @param state - the state
+ * @returns the maintenance section with the evacuated data centres; the same object while neither changes
+ */
+export function placementMaintenance (state: State): Maintenance {
+  const { maintenance } = state.configuration.document
+  const { evacuations } = state.steps
+  if (evacuations === undefined) return maintenance
+  const known = maintenanceCache.get(evacuations)
+  if (known?.from === maintenance) return known.made
+  const evacuated = evacuatedDataCentres(state.steps).map(({ dataCentre }) => dataCentre)
+  const made = evacuated.length === 0 ? maintenance : { ...maintenance, dataCentres: [...maintenance.dataCentres, ...evacuated] }
+  maintenanceCache.set(evacuations, { from: maintenance, made })
+  return made
+}
+
 /**
  * Tells whether a worker may hold homes and get work.
  * @param worker - the worker
@@ -189,7 +210,8 @@
  * @returns the entry to propose, or undefined if nothing changes
  */
 export function planHomes (state: State, now: number): SetHomes | undefined {
-  const { guarantees, maintenance } = state.configuration.document
+  const { guarantees } = state.configuration.document
+  const maintenance = placementMaintenance(state)
   if (guarantees.length === 0 && state.homes.size === 0) return undefined
   const last = lastPlanned
   if (last !== undefined && last.guarantees === guarantees && last.maintenance === maintenance && last.workers === state.workers &&
@@ -206,7 +228,8 @@
 }
 
 function replan (state: State, now: number): SetHomes | undefined {
-  const { guarantees, maintenance } = state.configuration.document
+  const { guarantees } = state.configuration.document
+  const maintenance = placementMaintenance(state)
   const wanted = wantedHomes(guarantees)
   const usable = state.workers.valueSeq().toArray().filter((worker) => isUsable(worker, maintenance))
   const bins = new Map(binsOf(usable).map((bin) => [bin.worker.name, bin]))
@@ -250,7 +273,7 @@
  * @returns the entry to propose, or undefined if some homes would have no place
  */
 export function relocateHomes (state: State, job: Job, members: readonly Member[], now: number): SetHomes | undefined {
-  const { maintenance } = state.configuration.document
+  const maintenance = placementMaintenance(state)
   const usable = state.workers.valueSeq().toArray().filter((worker) => isUsable(worker, maintenance))
   const homes = [...state.homes.values()].sort((one, other) => one.identifier < other.identifier ? -1 : 1)
   const workers = new Set(members.map((member) => member.worker))
@@ -338,7 +361,7 @@
 function isBlocked (state: State, view: HomeView, home: Home): boolean {
   return home.members.some(({ worker: name, mask }) => {
     const worker = state.workers.get(name)
-    if (worker === undefined || !isUsable(worker, state.configuration.document.maintenance)) return true
+    if (worker === undefined || !isUsable(worker, placementMaintenance(state))) return true
     const nonPreemptible = nonPreemptibleOutsideHomes(view, name)
     const homes = sumResources(homeAllocations(state.homes).get(name) ?? [])
     return (nonPreemptible.mask & mask) !== 0 || !fitsWorker(worker, addResources(homes, nonPreemptible))
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -27,6 +27,8 @@
   MadeRoomForUrgent = 'made-room-for-urgent',
   MemberLost = 'member-lost',
   WorkerLeaving = 'worker-leaving',
+  /** The data centre of one of its workers is evacuated. */
+  Evacuated = 'evacuated',
   CancelledByCaller = 'cancelled-by-caller',
   RemovedFromDocument = 'removed-from-document',
   AccountRemoved = 'account-removed',
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -10,6 +10,7 @@
 import { fitsKnownFleet, memberFits } from './placement'
 import { retryAt } from './retries'
 import type { RecordEvent } from './record'
+import { isEvacuated } from './steps/evacuations'
 import {
   AttemptOutcome, TransactionKind, type AcceptJob, type AttemptKey, type CancelJobs, type EndAttempt, type EndJobs, type Expire,
   type FinishJob, type Refuse, type ReleaseJob, type ReserveJob, type StartJob, type StopJob
@@ -120,7 +121,7 @@
   if (transaction.members.length !== shape.workers || distinct !== shape.workers) return staleAttempt(transaction)
   for (const member of transaction.members) {
     const worker = draft.worker(member.worker)
-    if (worker === undefined || !worker.present || worker.incarnation !== member.incarnation) return staleAttempt(transaction)
+    if (worker === undefined || !worker.present || worker.incarnation !== member.incarnation || isEvacuated(draft.steps, worker.dataCentre)) return staleAttempt(transaction)
     if (!memberFits(job, worker, draft.workerUsage(member.worker), member.mask)) return staleAttempt(transaction)
   }
   if (!preservesHomes(homeViewOf(draft), job, transaction.members, transaction.home)) return staleAttempt(transaction)
@@ -197,7 +198,7 @@
  */
 export function startJob (draft: Draft, transaction: StartJob): ApplyResult {
   const job = jobInState(draft, transaction, JobState.Reserved)
-  if (job === undefined) return staleAttempt(transaction)
+  if (job === undefined || job.attempt.members.some(({ worker }) => isEvacuated(draft.steps, draft.worker(worker)?.dataCentre ?? ''))) return staleAttempt(transaction)
   const attempt = { ...job.attempt, startedAt: draft.at }
   draft.setJob({ ...job, state: JobState.Running, attempt })
   commandMembers(draft, job.identifier, attempt, EffectKind.Start)
--- a/src/core/scheduling-pass.ts
+++ b/src/core/scheduling-pass.ts
@@ -4,13 +4,14 @@
 import { expectedSeconds, HIGH_QUANTILE } from './estimates'
 import { FairShares } from './fairness'
 import { Fleet, type WorkerCapacity } from './fleet'
-import { fitsHome, isDrained, membersInHome, relocateHomes } from './guarantees'
+import { fitsHome, isDrained, membersInHome, placementMaintenance, relocateHomes } from './guarantees'
 import { addResources, jobResources, isNonPreemptible, fitsWorker, type JobAllocation } from './allocations'
 import type { Home } from './homes'
 import { hasEnded, JobState, Reason, type Job, type Member } from './job'
 import { planEviction, largestGroup, placeByPreemption, placeFree, type Place, type PlacementSearch, type PreemptionCost } from './placement'
 import { compareEntries, urgencyRank, type QueueEntry, type Queue } from './queue'
 import type { State } from './state'
+import { isEvacuated } from './steps/evacuations'
 import { TransactionKind, type Transaction } from './transaction'
 import { WorkerHealth } from './worker'
 
@@ -112,15 +113,16 @@
     return []
   }
 
-  /** Stops preemptible work, and releases reservations, on drained and leaving workers. */
+  /** Stops preemptible work, and releases reservations, on drained and leaving workers. In evacuated data centres, what runs goes on. */
   private stopOnDrainedWorkers (): void {
     const { maintenance } = this.state.configuration.document
     for (const capacity of this.fleet.capacities) {
       if (capacity.usable || !capacity.worker.present || capacity.allocations.length === 0) continue
-      if (!capacity.worker.leaving && !isDrained(capacity.worker, maintenance)) continue
+      const leaves = capacity.worker.leaving || isDrained(capacity.worker, maintenance)
+      if (!leaves && !isEvacuated(this.state.steps, capacity.dataCentre)) continue
       for (const allocation of capacity.allocations) {
         const job = this.state.jobs.get(allocation.job)
-        if (!allocation.nonPreemptible || job?.state === JobState.Reserved) this.stop(allocation.job, Reason.WorkerLeaving, 0)
+        if ((leaves && !allocation.nonPreemptible) || job?.state === JobState.Reserved) this.stop(allocation.job, leaves ? Reason.WorkerLeaving : Reason.Evacuated, 0)
       }
     }
   }
@@ -228,7 +230,7 @@
     for (const capacity of this.fleet.capacities) {
       const { worker } = capacity
       if (worker.health !== WorkerHealth.Quarantined || !worker.present || worker.leaving || worker.probeAt > this.now || capacity.allocations.length > 0) continue
-      if (isDrained(worker, this.state.configuration.document.maintenance) || this.silent.has(worker.name)) continue
+      if (isDrained(worker, placementMaintenance(this.state)) || this.silent.has(worker.name)) continue
       const entry = this.findProbeJob(capacity)
       if (entry === undefined) {
         if (this.queue.size > 0 && worker.probeAt + MAX_PROBE_WAIT_MILLISECONDS <= this.now) this.transactions.push({ kind: TransactionKind.ReturnWorker, at: this.now, worker: worker.name })
--- a/src/core/workers.ts
+++ b/src/core/workers.ts
@@ -2,7 +2,8 @@
 import type { Draft } from './draft'
 import { EffectKind } from './effect'
 import { JobState, Reason } from './job'
-import { endMember, isRunning, type RunningJob } from './jobs'
+import { beginStop, endMember, isRunning, type RunningJob } from './jobs'
+import { isEvacuated } from './steps/evacuations'
 import { AttemptOutcome, TransactionKind, type AnnounceWorker, type LeaveWorker, type LoseWorker } from './transaction'
 import { Verdict, type Refusal } from './verdict'
 import { WorkerHealth, type Worker } from './worker'
@@ -35,6 +36,7 @@
     if (!isRunning(job)) continue
     const known = transaction.running.some((key) => key.job === job.identifier && key.attempt === job.attempt.number)
     if (restarted) settleAfterRestart(draft, job, transaction, known)
+    else if (mustNotBegin(draft, job, transaction.worker) && !known) beginStop(draft, job, Reason.Evacuated)
     else resendCommand(draft, job, transaction.worker.name)
   }
   stopUnknownAttempts(draft, transaction)
@@ -66,6 +68,11 @@
   resendCommand(draft, job, worker)
 }
 
+/** A start that is sent again would begin the attempt in an evacuated data centre. */
+function mustNotBegin (draft: Draft, { state }: RunningJob, { dataCentre }: AnnounceWorker['worker']): boolean {
+  return state === JobState.Running && isEvacuated(draft.steps, dataCentre)
+}
+
 function lostMemberEnd (job: RunningJob): Parameters<typeof endMember>[3] {
   const verdict = job.attempt.startedAt === 0 ? Verdict.NotRun : Verdict.MayHaveRun
   return { outcome: AttemptOutcome.Lost, verdict, reason: Reason.MemberLost, usedMemory: 0 }
