Start and finish evacuations through every interface

Cause: operators had no call for it; the users' platform got 404.

Change: two gRPC calls, their handlers at the leader, a client that reads the change count after it has received an order and reads it again when it has changed, the entry's HTTP API, the command line, the adapter, log lines and metrics. The leader sends no start to an evacuated data centre and stops what its worker has not listed. An agent sends a start only while a report of the last 2.5 s has been answered: one that was paused or cut off would otherwise send a start that has been withdrawn.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -24,6 +24,13 @@
 const FENCED_RETRY_MILLISECONDS = 300
 /** Time after which an unanswered start is no longer expected to arrive at the worker, in milliseconds. */
 const UNANSWERED_START_RETENTION_MILLISECONDS = 60_000
+/**
+ * Age of the last answered report beyond which no start is sent, in milliseconds. A start that waited for longer, because this
+ * process was paused or cut off from the leader, may have been withdrawn: evacuations are in force 5 s after they are acknowledged.
+ */
+const MAX_ANSWER_AGE_MILLISECONDS = 2_500
+/** Number of reports whose sending times are kept. */
+const MAX_TRACKED_REPORTS = 64
 /** Interval of polls while control has not recorded a listed end, or a start or stop is pending, in milliseconds. */
 const UNRECORDED_POLL_MILLISECONDS = 60
 
@@ -100,6 +107,10 @@
   private readonly stream: ControlStream<WorkerReport, WorkerOrders>
   private term = 0
   private sequence = 0
+  /** Sending times of the last reports by sequence number, in monotonic milliseconds. */
+  private readonly reportSentAt = new Map<number, number>()
+  /** Sending time of the newest report that a leader has answered, in monotonic milliseconds. */
+  private answeredReportAt = -Infinity
   private reportTimer?: NodeJS.Timeout
   private reportDue = false
   private wakePoll?: () => void
@@ -268,6 +279,8 @@
   private createReport (): WorkerReport {
     const { current } = this
     this.sequence += 1
+    this.reportSentAt.set(this.sequence, performance.now())
+    this.reportSentAt.delete(this.sequence - MAX_TRACKED_REPORTS)
     const { host } = this.options
     const gone = [...this.endedIncarnations].slice(-8)
     if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
@@ -292,6 +305,7 @@
     this.stream.confirmLeader()
     this.stream.setSilenceTimeout(SILENCE_TIMEOUT_MILLISECONDS)
     this.options.hosts.updateFromLeader(orders.controlHosts)
+    this.answeredReportAt = Math.max(this.answeredReportAt, this.reportSentAt.get(orders.sequence) ?? -Infinity)
     const { current } = this
     if (current?.reportable !== true || orders.incarnation !== current.heartbeat.incarnation) return
     current.leaseUntil = Math.max(current.leaseUntil, orders.leaseUntil)
@@ -332,7 +346,7 @@
       if (order === undefined) return
       if (tracked.leaving) { this.handleRefusedStart(tracked, key); return }
       if (isOverfull(tracked)) { this.handleRefusedStart(tracked, key, OrderRefusal.NoCapacity); return }
-      if (tracked.leaseUntil === 0) { await pause(RETRY_MILLISECONDS); continue }
+      if (tracked.leaseUntil === 0 || performance.now() - this.answeredReportAt > MAX_ANSWER_AGE_MILLISECONDS) { await pause(RETRY_MILLISECONDS); continue }
       if (!tracked.verified) {
         if (!await this.verify(tracked)) await pause(RETRY_MILLISECONDS)
         continue
--- a/src/client/index.ts
+++ b/src/client/index.ts
@@ -1,6 +1,7 @@
 export { CallKind, BrokenCall, LeaderClient, jittered, sleep } from './leader-client'
 export { Channels } from './channels'
 export { connectControl, type ControlConnection } from './connection'
+export { EvacuationClient, type EvacuationOrder } from './evacuation-client'
 export { KnownHosts } from './known-hosts'
 export { digestOf, QueueClient, QueueOperation, type DocumentAnswer, type JobAnswer, type NamedQueueCall, type QueueCall } from './queue-client'
 export { mayHaveRun, readRefusal, readVerdict } from './refusals'
--- a/src/command/command-line.ts
+++ b/src/command/command-line.ts
@@ -2,6 +2,7 @@
 import { AuditAccount, AuditExport, AuditVerify } from './audit'
 import { ConfigurationCheck, ConfigurationGet, ConfigurationPut, ConfigurationStatus } from './configuration'
 import { ControlAdd, ControlMembers, ControlRemove, ControlTransfer } from './control'
+import { EvacuationFinish, EvacuationList, EvacuationStart } from './evacuation'
 import { JobAnswer, JobCancel, JobExplain, JobList, JobShow, JobSubmit } from './job'
 import { Load } from './load'
 import { QueueCancel, QueueDocumentGet, QueueDocumentPut, QueuePending, QueueShow, QueueSubmit } from './queue'
@@ -15,6 +16,7 @@
   JobSubmit, JobList, JobShow, JobCancel, JobAnswer, JobExplain,
   QueueSubmit, QueueShow, QueueCancel, QueuePending, QueueDocumentGet, QueueDocumentPut,
   WorkerList, WorkerDrain, WorkerUndrain,
+  EvacuationList, EvacuationStart, EvacuationFinish,
   ControlMembers, ControlAdd, ControlRemove, ControlTransfer,
   AuditExport, AuditVerify, AuditAccount,
   Load, StandInTarget, StandInPlatform,
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -68,11 +68,11 @@
 
 /** A control host without a disk stores nothing; its HTTP server forwards operators' requests to the leader. */
 async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
-  const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
+  const { connectControl, EvacuationClient, KnownHosts, QueueClient } = await import('../client/index')
   const { OperatorServer } = await import('../../platform/operator')
   const control = settings.control === undefined ? await startDiskless(settings, tls) : await startControl(settings, tls)
   const { hosts, channels, leader } = connectControl(KnownHosts.createAtRandom(knownControlHosts(settings)), createLogger(Role.Control, settings.logLevel), tls)
-  const server = await OperatorServer.open({ address: requiredAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
+  const server = await OperatorServer.open({ address: requiredAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader), evacuations: EvacuationClient.create(leader) })
   return {
     role: Role.Control,
     stopDeadlineMilliseconds: control.stopDeadlineMilliseconds + SERVER_STOP_DEADLINE_MILLISECONDS,
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -6,6 +6,7 @@
 import type { AgentCall } from './agents'
 import { fromWireJob, notLeaderRefusal, refusalReport, toReport, toWireRefusal } from './convert'
 import type { ConfigurationCall } from './configuration-followers'
+import { changeEvacuation, listEvacuations } from './evacuation-calls'
 import { handleQueueRequest, readDocument, replaceDocument, type QueueContext } from './queue-calls'
 import type { SupervisorCall } from './supervisors'
 import type { JobWaiters } from './job-waiters'
@@ -56,7 +57,9 @@
     confirm: confirmedCall<wire.ConfirmRequest, wire.ConfirmReply>(context, () => Promise.resolve({ refusal: undefined, controlHosts: [...context.controlHosts()] }), (refusal) => ({ refusal, controlHosts: [] })),
     queue: unconfirmedCall((request) => handleQueueRequest(context, request)),
     replaceDocument: unconfirmedCall((request) => replaceDocument(context, request)),
-    readDocument: unconfirmedCall(() => readDocument(context))
+    readDocument: unconfirmedCall(() => readDocument(context)),
+    listEvacuations: unconfirmedCall((request) => listEvacuations(context, request)),
+    changeEvacuation: unconfirmedCall((request) => changeEvacuation(context, request))
   }
   return implementation as unknown as UntypedServiceImplementation
 }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInChunks, guaranteeStatus, notRunRefusal, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction
+  decide, decodeState, EffectKind, encodeStateInChunks, evacuatedDataCentres, evacuatedRuns, guaranteeStatus, notRunRefusal, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, notLeaderMessage, type AgentCall } from './agents'
@@ -121,7 +121,9 @@
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
-    documentNumber: () => this.machine.committed.steps.document?.number ?? 0
+    documentNumber: () => this.machine.committed.steps.document?.number ?? 0,
+    evacuatedDataCentres: () => evacuatedDataCentres(this.machine.committed.steps).length,
+    evacuatedRuns: () => [...evacuatedRuns(this.machine.committed.steps).values()].reduce((sum, runs) => sum + runs, 0)
   })
 
   private readonly refusals = new Map<string, CountedRefusal>()
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -16,6 +16,8 @@
   readonly silentWorkers: () => number
   readonly unassignedRuns: () => number
   readonly documentNumber: () => number
+  readonly evacuatedDataCentres: () => number
+  readonly evacuatedRuns: () => number
 }
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -35,7 +37,9 @@
   supervisedWorkers: 'Incarnations of workers that run tasks of jobs of steps',
   silentWorkers: 'Those of them that were not heard of in time',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
-  documentNumber: 'Number of the numbered document in force'
+  documentNumber: 'Number of the numbered document in force',
+  evacuatedDataCentres: 'Data centres that get no new work',
+  evacuatedRuns: 'Tasks of jobs of steps that still run in evacuated data centres'
 }
 
 /** The Prometheus metrics of a control host. */
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import {
-  assessCrash, fitsInto, gangOf, IncarnationLossCause, noSuspects, resourcesOf, RunOutcome, runName, sameResources, StepTransactionKind, SuspectTracker,
+  assessCrash, fitsInto, gangOf, isEvacuated, IncarnationLossCause, noSuspects, resourcesOf, RunOutcome, runName, runsToAbandon, sameResources, StepTransactionKind, SuspectTracker,
   type FleetView, type WorkerIncarnation, type IncarnationDescription, type Resources, type RunEnd, type RunKey, type SaveCheckpoints, type State, type StepTransaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -463,7 +463,8 @@
       incarnation: supervisor.incarnation,
       leaseUntil,
       acknowledged: life?.acknowledged ?? 0,
-      starts: commanded === undefined ? [] : this.startOrders(commanded, listed),
+      // The head has an evacuation before its entry is committed, and the committed state until its end is committed.
+      starts: commanded === undefined || [this.context.head(), this.context.committed()].some((state) => isEvacuated(state.steps, commanded.dataCentre)) ? [] : this.startOrders(commanded, listed),
       stops: this.runsToStop(life, report),
       used: life?.used,
       controlHosts: [...this.context.controlHosts()]
@@ -496,7 +497,7 @@
     })
   }
 
-  /** Runs that are being stopped, and runs that the worker lists but the log does not assign to it. */
+  /** Runs that are being stopped or abandoned, and runs that the worker lists but the log does not assign to it. */
   private runsToStop (life: WorkerIncarnation | undefined, report: wire.WorkerReport | undefined): RunKey[] {
     const { jobs } = this.context.committed().steps
     const stopping = [...life?.runs.values() ?? []].filter((key) => {
@@ -504,7 +505,7 @@
     })
     const notStarted = (report?.ends ?? []).filter(({ number }) => number === 0)
     const unexpected = [...report?.runs ?? [], ...notStarted].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
-    return [...stopping, ...unexpected, ...report === undefined ? [] : this.startsToRevoke(report)]
+    return [...stopping, ...runsToAbandon(this.context.committed().steps, life, report), ...unexpected, ...report === undefined ? [] : this.startsToRevoke(report)]
   }
 
   private submit (transaction: StepTransaction): void {
--- a/src/core/steps/evacuations.ts
+++ b/src/core/steps/evacuations.ts
@@ -173,13 +173,22 @@
   })
 }
 
+/** The runs that the agent of a worker has listed. */
+export interface ReportedRuns {
+  readonly runs: ReadonlyArray<{ readonly key?: RunKey | undefined, readonly running: boolean }>
+  readonly ends: ReadonlyArray<{ readonly key?: RunKey | undefined }>
+}
+
 /**
  * Finds the runs that must not begin on a worker because its data centre is evacuated.
  * @param state - state of the step jobs
- * @param worker - the worker
- * @param begun - names of the runs that the worker has listed, as running or ended
- * @returns the runs that the log assigns to it and that it has not listed
+ * @param worker - the worker; undefined where the log does not know it
+ * @param report - the last report of its agent; without one, nothing is known of what has begun there
+ * @returns the runs that the log assigns to the worker and that it lists neither as running nor as ended
  */
-export function runsToAbandon (state: StepState, worker: WorkerIncarnation, begun: ReadonlySet<string>): RunKey[] {
-  return isEvacuated(state, worker.dataCentre) ? [...worker.runs.values()].filter((key) => !begun.has(runName(key))) : []
+export function runsToAbandon (state: StepState, worker: WorkerIncarnation | undefined, report: ReportedRuns | undefined): RunKey[] {
+  if (worker === undefined || report === undefined || !isEvacuated(state, worker.dataCentre)) return []
+  const begun = [...report.runs.filter(({ running }) => running), ...report.ends].flatMap(({ key }) => key === undefined ? [] : [runName(key)])
+  const names = new Set(begun)
+  return [...worker.runs.values()].filter((key) => !names.has(runName(key)))
 }
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,6 +1,6 @@
 export { assessCrash, CrashEvidence, noSuspects, type CrashAssessment, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
 export {
-  evacuatedDataCentres, evacuatedRuns, evacuationCount, isDataCentreName, isEvacuated, MAX_DATA_CENTRE_NAME_LENGTH, MAX_EVACUATED_DATA_CENTRES, RETURN_RAMP_MILLISECONDS, runsToAbandon
+  evacuatedDataCentres, evacuatedRuns, evacuationCount, isDataCentreName, isEvacuated, MAX_DATA_CENTRE_NAME_LENGTH, MAX_EVACUATED_DATA_CENTRES, RETURN_RAMP_MILLISECONDS, runsToAbandon, type ReportedRuns
 } from './evacuations'
 export * from './model'
 export * from './resources'
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -1,4 +1,5 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { Section } from '../core/document'
 import { notRunRefusal, RefusalCode, type Refusal } from '../core/verdict'
 import { bearerFromBasicAuth, PrincipalKind, type Authenticator, type Caller, type Operator, type Principal } from './authenticator'
 import type { ConfigurationCopy } from '../core/configuration-copy'
@@ -139,6 +140,17 @@
   throw new RefusalError(notRunRefusal(RefusalCode.Forbidden, 'this request needs the token of an operators\' team'))
 }
 
+/**
+ * Returns the team of an operator that may change control hosts and evacuations.
+ * @param request - the request
+ * @returns the name of the team; throws a refusal where it may not write the maintenance section
+ */
+export function maintainerOf (request: FastifyRequest): string {
+  const { team, sections } = operatorOf(request)
+  if (sections.includes(Section.Maintenance)) return team
+  throw new RefusalError(notRunRefusal(RefusalCode.Forbidden, 'only a team that may write the maintenance section may do this'))
+}
+
 /**
  * Returns the account whose jobs a request may access.
  * @param request - the request
--- a/src/entry/entry-module.ts
+++ b/src/entry/entry-module.ts
@@ -1,11 +1,12 @@
 import { Module, type DynamicModule } from '@nestjs/common'
 import { ConfigurationController } from './configuration-controller'
 import { ConfigurationCopy } from '../core/configuration-copy'
+import { EvacuationController } from './evacuation-controller'
 import { FairLimiter } from './fair-limiter'
 import { HealthController } from './health-controller'
 import { JobController } from './job-controller'
 import { JobService } from './job-service'
-import { LeaderClient, QueueClient } from '../client/index'
+import { EvacuationClient, LeaderClient, QueueClient } from '../client/index'
 import { EntryMetrics } from './metrics'
 import { OpenRequests } from './open-requests'
 import { OperationController } from './operation-controller'
@@ -33,7 +34,7 @@
   static of (instances: EntryProviders): DynamicModule {
     return {
       module: EntryModule,
-      controllers: [JobController, QueueController, ConfigurationController, OperationController, PageController, HealthController],
+      controllers: [JobController, QueueController, EvacuationController, ConfigurationController, OperationController, PageController, HealthController],
       providers: [
         JobService,
         OperatorService,
@@ -41,6 +42,7 @@
         { provide: FairLimiter, useValue: instances.limiter },
         { provide: LeaderClient, useValue: instances.leader },
         { provide: QueueClient, useValue: QueueClient.create(instances.leader) },
+        { provide: EvacuationClient, useValue: EvacuationClient.create(instances.leader) },
         { provide: EntryMetrics, useValue: instances.metrics },
         { provide: OpenRequests, useValue: instances.openRequests }
       ]
--- a/src/entry/operation-controller.ts
+++ b/src/entry/operation-controller.ts
@@ -2,11 +2,10 @@
 import { Controller, Get, Inject, Param, Post, Query, Req, Res } from '@nestjs/common'
 import { Type } from '@sinclair/typebox'
 import type { FastifyReply, FastifyRequest } from 'fastify'
-import { Section } from '../core/document'
 import { notRunRefusal, RefusalCode } from '../core/verdict'
 import { checkAgainst } from '../settings/index'
 import { ControlService, type ChangeMembersRequest, type MemberStatus, type StatusReply } from '../wire/index'
-import { operatorOf } from './admission'
+import { maintainerOf, operatorOf } from './admission'
 import { LeaderClient, readRefusal } from '../client/index'
 import { OpenRequests } from './open-requests'
 import { OperatorService, type ConfigurationView } from './operator-service'
@@ -20,13 +19,6 @@
 
 const transferSchema = Type.Object({ identity: Type.String({ maxLength: 128, default: '' }) }, { additionalProperties: false })
 
-/** Returns the sender's team. Control hosts may be changed only by teams that may write the maintenance section. */
-function maintainerOf (request: FastifyRequest): string {
-  const { team, sections } = operatorOf(request)
-  if (sections.includes(Section.Maintenance)) return team
-  throw new RefusalError(notRunRefusal(RefusalCode.Forbidden, 'only a team that may write the maintenance section may do this'))
-}
-
 function readMembers (request: FastifyRequest): ChangeMembersRequest {
   const team = maintainerOf(request)
   const body = checkAgainst(membersSchema, request.body ?? {})
--- a/test/fake-entry-control.ts
+++ b/test/fake-entry-control.ts
@@ -2,7 +2,7 @@
 import { Server, ServerCredentials, type ServerDuplexStream, type ServerWritableStream } from '@grpc/grpc-js'
 import { emptyDocument, type Document } from '../src/core/document'
 import {
-  ConfigurationUpdate, ControlService, DocumentReply, JobReport, QueueReply, Verdict, type ControlServer, type EntryMessage, type JobRequest, type Refusal
+  ConfigurationUpdate, ControlService, DocumentReply, EvacuationList, EvacuationReply, JobReport, QueueReply, Verdict, type ControlServer, type EntryMessage, type JobRequest, type Refusal
 } from '../src/wire/index'
 
 export const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex')
@@ -186,6 +186,8 @@
       queue: unary(() => QueueReply.fromPartial({ refusal: refusalOf('unknown-queue') })),
       replaceDocument: unary(() => DocumentReply.fromPartial({})),
       readDocument: unary(() => DocumentReply.fromPartial({})),
+      listEvacuations: unary(() => EvacuationList.fromPartial({})),
+      changeEvacuation: unary(() => EvacuationReply.fromPartial({})),
       follow: (stream) => this.follow(stream),
       submit: (stream) => this.submit(stream),
       await: (stream) => {
--- a/test/platform-fixture.ts
+++ b/test/platform-fixture.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Supervisor } from '../src/agent'
-import { Channels, KnownHosts, LeaderClient, QueueClient } from '../src/client'
+import { Channels, EvacuationClient, KnownHosts, LeaderClient, QueueClient } from '../src/client'
 import { ControlHost } from '../src/control'
 import { ClientServer, OperatorServer, WorkerClient, HeartbeatServer } from '../platform'
 import { WorkerStandIn } from '../stand-ins'
@@ -44,9 +44,10 @@
     const host = (await ControlHost.create({ host: 'control', address: control, folder, voters: [control], workerLeaseMilliseconds: lease, log: () => {} }))._unsafeUnwrap()
     host.start()
     const channels = Channels.create()
-    const queues = QueueClient.create(LeaderClient.create(KnownHosts.create([control]), channels, silent))
+    const leader = LeaderClient.create(KnownHosts.create([control]), channels, silent)
+    const queues = QueueClient.create(leader)
     const client = await ClientServer.open({ address: clients, readinessAddress: readiness, queues, ready: () => true })
-    const operator = await OperatorServer.open({ address: operators, queues })
+    const operator = await OperatorServer.open({ address: operators, queues, evacuations: EvacuationClient.create(leader) })
     const supervisor = Supervisor.create({ host: 'side', hosts: KnownHosts.create([control]), worker: WorkerClient.create(), log: () => {} })
     const heartbeatServer = await HeartbeatServer.open(workers, supervisor)
     supervisor.start()
