Test evacuations under lost, delayed and repeated messages and lost leaders

Guards against an order that is acknowledged and not in force, that wins although the opposite one was given after it, or that changes the count twice; against starts that are sent again after an evacuation by the leader, its successor or an agent that was paused; and against statuses that end the operator's retries.

--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -133,6 +133,28 @@
   await until(async () => await state('00000000000000a3') === 'completed')
 })
 
+test('orders to evacuate a data centre are acknowledged, repeated ones too, and stop and resume the starts there', async () => {
+  const order = async (name: string, kind: string): Promise<number> => (await fixture.callOperatorApi('POST', `/evacuations/${name}/${kind}`)).status
+  const { zone } = fixture.worker.heartbeat() as unknown as { zone: string }
+  expect([await order(zone, 'finish'), await order(zone, 'start'), await order(zone, 'start'), await order('an%20unknown%2Fone', 'start')]).toEqual([200, 200, 200, 200])
+  await fixture.call('POST', '00000000000000a9', job('20'))
+  await new Promise((resolve) => { setTimeout(resolve, 500) })
+  expect(fixture.worker.observations.starts).toEqual([])
+  expect(await order(zone, 'finish')).toBe(200)
+  await until(async () => await state('00000000000000a9') === 'completed')
+  expect([await order('n'.repeat(129), 'start'), await order('', 'start'), await order('%zz', 'start'), await order(zone, 'pause')]).toEqual([400, 400, 400, 404])
+  expect((await fixture.callOperatorApi('GET', `/evacuations/${zone}/start`)).status).toBe(404)
+})
+
+test('what runs in an evacuated data centre goes on', async () => {
+  const { zone } = fixture.worker.heartbeat() as unknown as { zone: string }
+  await fixture.call('POST', '00000000000000b9', job('900'))
+  await until(() => fixture.worker.running.length === 1)
+  expect((await fixture.callOperatorApi('POST', `/evacuations/${zone}/start`)).status).toBe(200)
+  await until(async () => await state('00000000000000b9') === 'completed')
+  expect(fixture.worker.observations.starts).toHaveLength(1)
+})
+
 function routeOf (document: object): object {
   return (document as { routes: object[] }).routes[0] ?? {}
 }
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -1,5 +1,5 @@
 /** Tests the supervisor with an in-memory fake of the worker and a fake leader on a real gRPC stream. */
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { OrderOutcome, OrderRefusal } from '../src/agent'
 import { RunOutcome } from '../src/core/index'
 import { heartbeat, key, noAnswer, SupervisorFixture } from './supervisor-fixture'
@@ -231,3 +231,19 @@
   await new Promise((resolve) => { setTimeout(resolve, 100) })
   expect(fixture.worker.calls).toEqual([])
 })
+
+test.each([{ stops: [key] }, {}])('an agent that was paused sends a start that waited only once control has answered a report made since: %j', async (answer) => {
+  vi.useFakeTimers({ toFake: ['performance'] })
+  const paused = await SupervisorFixture.createWithWorker()
+  // Answers with the sequence number 0 answer no report, like those that were sent before the pause.
+  paused.standingOrders = { sequence: 0 }
+  vi.advanceTimersByTime(3_000)
+  paused.sendOrders({ leaseUntil: 9_000, starts: [{ key, payload: 'text' }] })
+  await new Promise((resolve) => { setTimeout(resolve, 300) })
+  expect(paused.worker.calls).toEqual([])
+  paused.standingOrders = answer
+  await until(() => paused.worker.calls.length > 0)
+  expect(paused.worker.calls).toEqual([answer.stops === undefined ? 'start j 1 at w until 9000' : 'stop j 1 at w'])
+  await paused.close()
+  vi.useRealTimers()
+})
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -114,6 +114,32 @@
   expect((await leader.report({ runs: [{ key, running: true }] }))?.stops).toEqual([key])
 })
 
+test('a start in an evacuated data centre is not sent again, and the run is stopped unless its worker lists it as running or ended', async () => {
+  const keys = [0, 1, 2].map((task) => ({ job: 'j', step: 0, task, attempt: 1 }))
+  const [begun, unlisted, ended] = keys
+  leader.world.submit('j', [step({ tasks: 3 })])
+  for (const task of [0, 1, 2]) leader.world.start('j', 0, task, ['a@1'])
+  expect((await leader.report())?.starts).toHaveLength(3)
+  const listed = { runs: [{ key: begun, running: true, percent: 5 }, { key: unlisted, running: false }], ends: [{ number: 7, key: ended, outcome: RunOutcome.Done }] }
+  leader.holdCommits()
+  leader.world.apply({ kind: StepTransactionKind.StartEvacuation, at: Date.now(), dataCentre: 'd', changeCount: 0 })
+  expect(await leader.report(listed)).toMatchObject({ starts: [], stops: [] })
+  leader.commit()
+  expect(await leader.report(listed)).toMatchObject({ starts: [], stops: [unlisted] })
+  leader.world.apply({ kind: StepTransactionKind.FinishEvacuation, at: Date.now(), dataCentre: 'd', changeCount: 1 })
+  expect((await leader.report({ runs: [{ key: begun, running: true }] }))?.starts).toMatchObject([{ key: unlisted }])
+})
+
+test('a leader that has just taken over sends no start to an evacuated data centre, whatever it knows of the runs there', async () => {
+  leader.world.submit('j', [step()])
+  leader.world.start('j', 0, 0, ['a@1'])
+  leader.world.apply({ kind: StepTransactionKind.StartEvacuation, at: Date.now(), dataCentre: 'd', changeCount: 0 })
+  leader.supervisors.endLeading(undefined)
+  leader.supervisors.beginLeading()
+  leader.call = leader.attach()
+  expect(await leader.report()).toMatchObject({ starts: [], stops: [{ job: 'j', step: 0, task: 0, attempt: 1 }] })
+})
+
 test('a worker whose lease expires while its report is answered gets neither a lease nor starts of the runs that are lost with it', async () => {
   await leader.report()
   leader.world.submit('j', [step()])
