Accept names of data centres up to 128 characters in paths of the API

Cause: the web framework refuses a part of a path beyond 100 characters with 414 before any handler, while names of data centres have up to 128.

Change: the limit is that of the longest encoded name. The test of the evacuation calls of the API and the command line covers it.

--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -7,6 +7,7 @@
 import { Authenticator } from './authenticator'
 import { addAdmission } from './admission'
 import { connectControl, KnownHosts, type Channels, type ControlConnection, type LeaderClient } from '../client/index'
+import { MAX_DATA_CENTRE_NAME_LENGTH } from '../core/steps/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
 import { parseJson } from '../core/json-text'
 import { notRunRefusal, RefusalCode } from '../core/verdict'
@@ -20,6 +21,8 @@
 
 /** Upper limit on any request body; the document sets the limit on submissions. */
 const MAX_BODY_BYTES = 4_194_304
+/** Limit of an encoded part of a path, in bytes: the name of a data centre, with three bytes for each character and three characters for each byte. */
+const MAX_PARAMETER_LENGTH = MAX_DATA_CENTRE_NAME_LENGTH * 3 * 3
 /** Submissions in flight to control at the same time, over all accounts. */
 const MAX_CONCURRENT_SUBMISSIONS = 256
 /** Time allowed for the last answers to be sent after waiting callers were told to use another entry. */
@@ -136,7 +139,7 @@
 }
 
 function createAdapter (tls: TlsFiles | undefined): FastifyAdapter {
-  const options = { bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true, return503OnClosing: false, logger: false }
+  const options = { bodyLimit: MAX_BODY_BYTES, routerOptions: { maxParamLength: MAX_PARAMETER_LENGTH }, forceCloseConnections: true, return503OnClosing: false, logger: false }
   if (tls === undefined) return new FastifyAdapter(options)
   return new FastifyAdapter({ ...options, https: { cert: tls.certificate, key: tls.key } })
 }
--- a/test/queue-api.test.ts
+++ b/test/queue-api.test.ts
@@ -143,3 +143,28 @@
   expect(await run('operator', 'queue', 'document', 'put', documentFile, '--number', '4')).toMatchObject({ code: 0, stdout: 'accepted 4\n' })
   expect((await run('operator', 'queue', 'document', 'get')).stdout).toContain('number 4')
 })
+
+test('evacuations are listed, started and finished through the API and the command line, by teams that may write maintenance', async () => {
+  const list = async (): Promise<unknown> => (await send(entry, 'GET', '/evacuations', { token: 'reader' })).json
+  expect(await list()).toEqual({ evacuations: [] })
+  expect(await send(entry, 'POST', '/evacuations/d/start', { token: 'operator' })).toMatchObject({ status: 200, json: { dataCentre: 'd', evacuated: true } })
+  expect(await send(entry, 'POST', '/evacuations/d/start', { token: 'operator' })).toMatchObject({ status: 200 })
+  expect(await list()).toMatchObject({ evacuations: [{ dataCentre: 'd', runs: 0 }] })
+  await send(entry, 'POST', '/queues/proofs/jobs/w', { token: 'hue', body: job('20') })
+  expect(await run('operator', 'evacuation', 'start', 'north/2')).toEqual({ code: 0, stdout: 'data centre north/2 gets no new work\n', stderr: '' })
+  const listed = (await run('operator', 'evacuation', 'list')).stdout.split('\n')
+  expect(listed.map((line) => line.split(/ {2,}/)[0])).toEqual(['DATA CENTRE', 'd', 'north/2', ''])
+  expect((await send(entry, 'GET', '/queues/proofs/jobs/w', { token: 'hue' })).json.state).toBe('queued')
+  expect(await run('operator', 'evacuation', 'finish', 'd')).toMatchObject({ code: 0, stdout: 'data centre d gets new work\n' })
+  await until(async () => (await send(entry, 'GET', '/queues/proofs/jobs/w', { token: 'hue' })).json.state === 'completed')
+  expect(await send(entry, 'POST', `/evacuations/${encodeURIComponent('đ'.repeat(128))}/finish`, { token: 'operator' })).toMatchObject({ status: 200 })
+  const refused = [
+    await send(entry, 'POST', '/evacuations/d/start', { token: 'reader' }),
+    await send(entry, 'POST', '/evacuations/d/start', { token: 'hue' }),
+    await send(entry, 'GET', '/evacuations', { token: 'hue' }),
+    await send(entry, 'POST', `/evacuations/${'n'.repeat(129)}/start`, { token: 'operator' })
+  ]
+  expect(refused.map(({ status, json }) => `${status} ${json.code}`)).toEqual(['403 forbidden', '403 forbidden', '403 forbidden', '400 bad-request'])
+  const lines = (await run('operator', 'audit', 'export')).stdout.split('\n').filter((line) => line.includes('-evacuation')).map((line) => JSON.parse(line))
+  expect(lines.map(({ kind, dataCentre, team }) => [kind, dataCentre, team])).toEqual([['start-evacuation', 'd', 'operators'], ['start-evacuation', 'north/2', 'operators'], ['finish-evacuation', 'd', 'operators']])
+})
