Skip the search for abandoned runs while no data centre is evacuated

Cause: after the first evacuation, each round looked up the worker of every member of every run, also when all data centres had returned.

Result: lint and check pass; test/evacuations and test/step-history pass (14 tests).

--- a/src/core/steps/evacuations.ts
+++ b/src/core/steps/evacuations.ts
@@ -115,6 +115,16 @@
   return all.filter(({ evacuated }) => evacuated).sort((one, other) => one.dataCentre < other.dataCentre ? -1 : 1)
 }
 
+/** Whether any data centre is evacuated, by state of evacuations: asked for each run in each round. */
+const hasEvacuatedCache = new WeakMap<EvacuationState, boolean>()
+
+function hasEvacuated ({ evacuations }: StepState): boolean {
+  if (evacuations === undefined) return false
+  const known = hasEvacuatedCache.get(evacuations) ?? evacuations.dataCentres.some(({ evacuated }) => evacuated)
+  hasEvacuatedCache.set(evacuations, known)
+  return known
+}
+
 /**
  * Counts the runs that are still on the workers of evacuated data centres.
  * @param state - state of the step jobs
@@ -122,7 +132,7 @@
  */
 export function evacuatedRuns (state: StepState): ReadonlyMap<string, number> {
   const counts = new Map<string, number>()
-  if (evacuatedDataCentres(state).length === 0) return counts
+  if (!hasEvacuated(state)) return counts
   for (const { dataCentre, runs } of state.incarnations.values()) {
     if (runs.size > 0 && isEvacuated(state, dataCentre)) counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + runs.size)
   }
@@ -166,7 +176,7 @@
  */
 export function beginsInEvacuated (state: StepState, job: StepJob, step: number, gang: Gang, isListed: (key: RunKey) => boolean): boolean {
   const { run } = gang
-  if (run === undefined || state.evacuations === undefined) return false
+  if (run === undefined || !hasEvacuated(state)) return false
   return run.members.some(({ task, incarnation, ended }) => {
     const worker = state.incarnations.get(incarnation)
     return !ended && worker !== undefined && isEvacuated(state, worker.dataCentre) && !isListed({ job: job.identifier, step, task, attempt: run.attempt })
