--- a/test/evacuation-failures.test.ts
+++ b/test/evacuation-failures.test.ts
@@ -2,6 +2,7 @@
  * Orders to start or finish an evacuation while messages are lost, repeated or delayed and leaders are killed at each step.
  * Two control hosts share one replicated log, which commits at once; the calls between client and host are real.
  */
+import { connect, type Socket } from 'node:net'
 import { Server, ServerCredentials, type UntypedServiceImplementation } from '@grpc/grpc-js'
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, expect, test } from 'vitest'
@@ -10,7 +11,10 @@
 import type { QueueContext } from '../src/control/queue-calls'
 import { evacuationCount, isEvacuated, notRunRefusal, RefusalCode, StepTransactionKind, Verdict, type Transaction } from '../src/core/index'
 import { ConfirmReply, ControlService, EvacuationList, EvacuationReply } from '../src/wire'
+import { HttpServer, type HttpRequest } from '../platform/http-server'
+import { freePort } from './platform-fixture'
 import { StepWorld, worker } from './steps-fixture'
+import { until } from './until'
 
 /** The messages of an order, at which a fault can occur. */
 enum Message { ReadRequest = 'read-request', ReadReply = 'read-reply', ChangeRequest = 'change-request', Commit = 'commit', ChangeReply = 'change-reply' }
@@ -194,3 +198,23 @@
   leader = 2
   expect((await client.list())._unsafeUnwrapErr().verdict).toBe(Verdict.NotRun)
 })
+
+test.each([['closes its connection', (socket: Socket) => { socket.destroy() }], ['sends no more', (socket: Socket) => { socket.end() }]])('the handler of an order sees that its caller %s', async (_, leave) => {
+  const port = await freePort()
+  const requests: HttpRequest[] = []
+  let answer = (): void => {}
+  const server = await HttpServer.open(`127.0.0.1:${port}`, async (request) => {
+    requests.push(request)
+    await new Promise<void>((resolve) => { answer = resolve })
+    return { status: 200 }
+  })
+  const socket = connect(port, '127.0.0.1', () => { socket.write('POST /evacuations/d/start HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n') })
+  socket.on('error', () => {})
+  await until(() => requests.length === 1)
+  expect(requests[0]?.isAbandoned()).toBe(false)
+  leave(socket)
+  await until(() => requests[0]?.isAbandoned() === true)
+  answer()
+  socket.destroy()
+  await server.close()
+})
