--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -17,6 +17,8 @@
   readonly slowWorkers: () => number
   readonly unassignedRuns: () => number
   readonly documentNumber: () => number
+  readonly evacuatedDataCentres: () => number
+  readonly evacuatedRuns: () => number
 }
 
 const MILLISECONDS_PER_SECOND = 1_000
@@ -37,7 +39,9 @@
   silentWorkers: 'Those of them that were not heard of in time',
   slowWorkers: 'Workers whose learned pace is clearly below that of a typical one',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
-  documentNumber: 'Number of the numbered document in force'
+  documentNumber: 'Number of the numbered document in force',
+  evacuatedDataCentres: 'Data centres that get no new work',
+  evacuatedRuns: 'Tasks of jobs of steps that still run in evacuated data centres'
 }
 
 /** The Prometheus metrics of a control host. */
