Count a lease from the first report of a reading of the worker's clock

Cause: an agent whose worker is lost for good reports the last reading of the worker's clock again each 500 ms. The leader extended the lease in its own books at each report, so the worker was never lost, its jobs hung, and it got new work.

Change: WorkerClocks keeps when each reading was first reported, and a lease counts from there. A worker whose clock has stood still for 0.6 of a lease is silent. After its lease has expired it is registered only once its clock has moved. The agent states the age of the reading (clock_age, 0 from earlier builds), so that a new leader does not register such a worker once more.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -57,6 +57,8 @@
   leaving: boolean
   /** Highest value seen of the worker's own clock, in milliseconds. */
   clock: number
+  /** When that value was read, in monotonic milliseconds. */
+  clockReadAt: number
   /** End of the lease on that clock, 0 before the first grant. */
   leaseUntil: number
   table: RunTable
@@ -148,7 +150,7 @@
     const { current } = this
     if (current === undefined) { this.beginIncarnation(heartbeat); return }
     if (current.heartbeat.incarnation !== heartbeat.incarnation) { void this.checkSuccessor(current, heartbeat); return }
-    current.clock = Math.max(current.clock, heartbeat.clock)
+    recordClock(current, heartbeat.clock)
     this.updateCapacity(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
@@ -219,6 +221,7 @@
       heartbeatSequence: heartbeat.sequence,
       leaving: heartbeat.leaving,
       clock: heartbeat.clock,
+      clockReadAt: performance.now(),
       leaseUntil: 0,
       table: unanswered.reduce((table, key) => addRun(table, key, RunPhase.Stopping), emptyRunTable),
       startOrders: new Map(),
@@ -278,6 +281,7 @@
       sequence: this.sequence,
       life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving: current.leaving },
       clock: current.clock,
+      clockAge: performance.now() - current.clockReadAt,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
       ends: endsToReport(current.table),
       gone,
@@ -404,7 +408,7 @@
   }
 
   private handleAnswer (tracked: TrackedIncarnation, { outcome, clock }: OrderAnswer): void {
-    tracked.clock = Math.max(tracked.clock, clock)
+    recordClock(tracked, clock)
     if (unansweredOutcomes.has(outcome)) tracked.verified = false
   }
 
@@ -432,7 +436,7 @@
     if (typeof lists === 'string') { tracked.verified = false; await this.waitForWake(RETRY_MILLISECONDS); return }
     tracked.verified = true
     if (verified) tracked.polledAcknowledged = acknowledged
-    tracked.clock = Math.max(tracked.clock, lists.clock)
+    recordClock(tracked, lists.clock)
     const before = tracked.table
     tracked.table = applyRunLists(before, lists, confirmedStops)
     this.resumeStops(tracked)
@@ -459,6 +463,12 @@
   }
 }
 
+function recordClock (tracked: TrackedIncarnation, clock: number): void {
+  if (clock <= tracked.clock) return
+  tracked.clock = clock
+  tracked.clockReadAt = performance.now()
+}
+
 /** A poll that only shows which incarnation answers. */
 const identityPoll: PollRequest = { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -120,6 +120,7 @@
     openStepJobs: () => this.machine.committed.steps.open.size,
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
+    stoppedClocks: () => this.machine.leads ? this.supervisors.stoppedClockCount : 0,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
     documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -14,6 +14,7 @@
   readonly openStepJobs: () => number
   readonly supervisedWorkers: () => number
   readonly silentWorkers: () => number
+  readonly stoppedClocks: () => number
   readonly unassignedRuns: () => number
   readonly documentNumber: () => number
 }
@@ -34,6 +35,7 @@
   openStepJobs: 'Jobs of steps that have not ended or still hold something',
   supervisedWorkers: 'Incarnations of workers that run tasks of jobs of steps',
   silentWorkers: 'Those of them that were not heard of in time',
+  stoppedClocks: 'Those of them whose agents report although their own clock stands still',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
   documentNumber: 'Number of the numbered document in force'
 }
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -11,15 +11,22 @@
 import * as wire from '../wire/index'
 import { CheckpointSelector } from './checkpoint-selector'
 import { notLeaderRefusal } from './convert'
+import { HostIncarnations } from './host-incarnations'
 import { RunProgressTracker } from './run-progress'
 import { SignsOfLifeTracker } from './signs-of-life'
 import { MAX_LOGGED_RUNS, UnassignedRuns } from './unassigned-runs'
+import { WorkerClocks } from './worker-clocks'
 
 /** The server side of a supervising agent's stream. */
 export type SupervisorCall = ServerDuplexStream<wire.WorkerReport, wire.WorkerOrders>
 
 /** Time since a worker's last report after which it gets no new work, in milliseconds: more than two reports are missing. */
 const SILENT_AFTER_MILLISECONDS = 1_100
+/**
+ * Share of the lease for which a worker's clock may stand still before the worker counts as silent: two heartbeats are missing
+ * by then, as workers send four in a lease.
+ */
+const STOPPED_CLOCK_SHARE = 0.6
 /** Factor by which a worker's clock may run slower than this host's: the platform's stated bound, with a margin for this host's own clock. */
 const CLOCK_DRIFT_FACTOR = 1.025
 /** Time after the end of a lease and of the runs under it at which the worker counts as lost, in milliseconds. */
@@ -65,8 +72,8 @@
   readonly incarnation: string
   /** The worker's clock as the agent last read it before the report, in milliseconds; 0 where it has not read it. */
   readonly clock: number
-  /** Monotonic milliseconds. */
-  readonly receivedAt: number
+  /** When this reading was first reported, in monotonic milliseconds. */
+  readonly clockReportedAt: number
 }
 
 /** The leader's end of all streams of supervising agents. */
@@ -84,19 +91,21 @@
   /** The last report of each agent. */
   private readonly lastReports = new Map<Supervisor, wire.WorkerReport>()
   private readonly signsOfLife = SignsOfLifeTracker.create()
+  private readonly clocks: WorkerClocks
   private readonly trust = SuspectTracker.create()
   private readonly checkpointSelector = CheckpointSelector.create()
   /** When the registration was made whose loss was submitted last, by incarnation. */
   private readonly submittedLosses = new Map<string, number | undefined>()
   private readonly unassignedRuns: UnassignedRuns
-  /** The incarnations of the head by host, for the map of incarnations that it was made from. */
-  private hostIndex?: { readonly incarnations: State['steps']['incarnations'], readonly byHost: ReadonlyMap<string, readonly WorkerIncarnation[]> }
+  private readonly hostIncarnations: HostIncarnations
   private pendingReports: PendingReport[] = []
   private confirming = false
   private leadingSince = performance.now()
 
   private constructor (private readonly context: SupervisorsContext) {
     this.unassignedRuns = UnassignedRuns.create(context.log)
+    this.hostIncarnations = HostIncarnations.create(() => context.head().steps)
+    this.clocks = WorkerClocks.create(context.leaseMilliseconds * STOPPED_CLOCK_SHARE)
   }
 
   /**
@@ -117,6 +126,7 @@
     this.trust.clear()
     this.unassignedRuns.clear()
     this.signsOfLife.clear()
+    this.clocks.clear()
     this.submittedLosses.clear()
   }
 
@@ -160,6 +170,11 @@
     return this.unassignedRuns.count
   }
 
+  /** Number of workers whose agents report although the worker's own clock stands still. */
+  get stoppedClockCount (): number {
+    return this.clocks.stoppedCount
+  }
+
   /** Makes the workers suspect on which a run was stopped because it stalled. */
   suspectStalled (incarnations: readonly string[]): void {
     for (const incarnation of incarnations) this.trust.recordStall(incarnation, this.context.now())
@@ -169,12 +184,19 @@
   expiredLeases (): StepTransaction[] {
     this.forgetLost()
     const now = performance.now()
+    this.logStoppedClocks(now)
     const earliestExpiry = this.leadingSince + this.maxLeaseMilliseconds
     return this.context.head().steps.incarnations.valueSeq().toArray()
       .filter(({ incarnation }) => now > (this.leaseExpiresAt.get(incarnation) ?? earliestExpiry))
       .map(({ incarnation }) => this.lossTransaction(incarnation, IncarnationLossCause.LeaseExpired))
   }
 
+  private logStoppedClocks (now: number): void {
+    for (const incarnation of this.clocks.newlyStopped(this.context.head().steps.incarnations.keys(), now)) {
+      this.context.log('worker-clock-stopped', { incarnation, clockAgeMilliseconds: Math.round(this.clocks.ageOf(incarnation, now)), term: this.context.term() })
+    }
+  }
+
   /** Returns a transaction with checkpoints that the log does not have yet, or undefined where there are none. */
   unsavedCheckpoints (): SaveCheckpoints | undefined {
     const checkpoints = this.checkpointSelector.selectNext(this.context.head().steps, this.progress)
@@ -191,6 +213,7 @@
       this.progress.forget(incarnation)
       this.unassignedRuns.forget(incarnation)
       this.signsOfLife.forget(incarnation)
+      this.clocks.forget(incarnation)
     }
   }
 
@@ -207,7 +230,7 @@
     }
   }
 
-  /** Longest time from the receipt of a report until nothing runs under the lease it was granted. */
+  /** Longest time from the first report of a clock reading until nothing runs under the lease that was granted for it. */
   private get maxLeaseMilliseconds (): number {
     const { leaseMilliseconds, stopMilliseconds } = this.context
     return leaseMilliseconds * CLOCK_DRIFT_FACTOR + stopMilliseconds + LEASE_MARGIN_MILLISECONDS
@@ -218,25 +241,26 @@
     const silent = new Set<string>()
     for (const incarnation of this.context.head().steps.incarnations.keys()) {
       const lastReportAt = this.lastReportAt.get(incarnation)
-      if (lastReportAt === undefined || now - lastReportAt > SILENT_AFTER_MILLISECONDS || !this.byIncarnation.has(incarnation)) silent.add(incarnation)
+      if (lastReportAt === undefined || now - lastReportAt > SILENT_AFTER_MILLISECONDS || !this.byIncarnation.has(incarnation) || this.clocks.isStopped(incarnation, now)) silent.add(incarnation)
     }
     return silent
   }
 
   private handleReport (call: SupervisorCall, report: wire.WorkerReport): void {
     if (this.endedCalls.has(call)) return
-    if (this.isOutdated(report)) { this.context.log('report-outdated', { host: report.host, incarnation: report.life?.incarnation }); call.end(); return }
+    if (this.hostIncarnations.isOutdated(report)) { this.context.log('report-outdated', { host: report.host, incarnation: report.life?.incarnation }); call.end(); return }
     const supervisor = this.register(call, report)
     this.recordSignOfLife(supervisor.incarnation, report.clock)
+    const clockReportedAt = this.clocks.record(supervisor.incarnation, report.clock, report.clockAge, performance.now())
     const { life } = report
     this.submitEndsAtSuccessor(report)
     const cause = life === undefined ? IncarnationLossCause.Deregistered : IncarnationLossCause.Replaced
-    for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause, report)
+    for (const incarnation of report.gone) if (!this.hostIncarnations.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause, report)
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
     this.recordUnassignedRuns(supervisor.incarnation, report)
-    this.pendingReports.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, receivedAt: performance.now() })
+    this.pendingReports.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, clockReportedAt })
     this.lastReports.set(supervisor, report)
     void this.answerPendingReports()
   }
@@ -278,64 +302,21 @@
     const { host, runs } = report
     const recorded = this.context.head().steps.incarnations.get(life.incarnation)
     const { leaving, ...description } = life
-    if (this.startsToRevoke(report).length === 0) {
-      for (const other of this.otherIncarnations(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced, report)
-      if (recorded === undefined && runs.length === 0) this.submitAnnouncement({ host, ...description })
+    if (this.hostIncarnations.startsToRevoke(report).length === 0) {
+      for (const other of this.hostIncarnations.others(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced, report)
+      if (recorded === undefined && runs.length === 0 && this.clocks.mayRegister(life.incarnation, performance.now())) this.submitAnnouncement({ host, ...description })
     }
     if (recorded !== undefined) this.submitCapacity(recorded, resourcesOf(life))
     if (leaving && recorded?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveIncarnation, at: this.context.now(), incarnation: life.incarnation })
   }
 
-  /** Whether a later incarnation on the host is registered: a network partition can hold up a report until after those of later streams. */
-  private isOutdated ({ host, life }: wire.WorkerReport): boolean {
-    if (life === undefined || life.startedAt === 0) return false
-    return this.otherIncarnations(host, life).some(({ startedAt }) => (startedAt ?? 0) > life.startedAt)
-  }
-
-  private otherIncarnations (host: string, { incarnation }: wire.WorkerLife): WorkerIncarnation[] {
-    return (this.incarnationsByHost().get(host) ?? []).filter((other) => other.incarnation !== incarnation)
-  }
-
-  /** Kept until the incarnations change, since each report asks for it several times. */
-  private incarnationsByHost (): ReadonlyMap<string, readonly WorkerIncarnation[]> {
-    const { incarnations } = this.context.head().steps
-    if (this.hostIndex?.incarnations === incarnations) return this.hostIndex.byHost
-    const byHost = new Map<string, WorkerIncarnation[]>()
-    for (const worker of incarnations.values()) {
-      const known = byHost.get(worker.host)
-      if (known === undefined) byHost.set(worker.host, [worker])
-      else known.push(worker)
-    }
-    this.hostIndex = { incarnations, byHost }
-    return byHost
-  }
-
-  /** Whether the report is of a later incarnation of the same worker. The earlier one is then lost once its starts are revoked. */
-  private isSucceededBy (incarnation: string, { host, life }: wire.WorkerReport): boolean {
-    const earlier = this.context.head().steps.incarnations.get(incarnation)
-    return life !== undefined && incarnation !== life.incarnation && earlier?.host === host && earlier.worker === life.worker
-  }
-
-  /**
-   * Runs of earlier incarnations of the reported worker that the agent has not yet settled at the present one. Orders name
-   * the worker and not its incarnation, so starts for an earlier one may be executed by the present one.
-   */
-  private startsToRevoke ({ host, life, ends }: wire.WorkerReport): RunKey[] {
-    if (life === undefined) return []
-    const settled = new Set(ends.flatMap(({ key }) => key === undefined ? [] : [runName(key)]))
-    return this.otherIncarnations(host, life)
-      .filter(({ worker }) => worker === life.worker)
-      .flatMap(({ runs }) => [...runs.values()])
-      .filter((key) => !settled.has(runName(key)))
-  }
-
   /**
    * Records the ends of runs that the log assigns to earlier incarnations of the reported worker, and which the present one
    * executed. Must precede the loss of the earlier ones, which ends their runs as lost.
    */
   private submitEndsAtSuccessor ({ host, life, ends }: wire.WorkerReport): void {
     if (life === undefined) return
-    for (const { incarnation, worker, runs } of this.otherIncarnations(host, life)) {
+    for (const { incarnation, worker, runs } of this.hostIncarnations.others(host, life)) {
       if (worker !== life.worker) continue
       // That a run never starts at the present one says nothing about the earlier one. Numbers are of the present one.
       const executed = ends.flatMap(({ number, key, outcome, checkpoint }): RunEnd[] => {
@@ -371,11 +352,13 @@
   /** `begun` are the names of the runs that may have begun there; undefined where that is not known. */
   private lossTransaction (incarnation: string, cause: IncarnationLossCause, begun?: ReadonlySet<string>): StepTransaction {
     const { aliveAt } = this.signsOfLife
+    if (cause === IncarnationLossCause.LeaseExpired) this.clocks.recordLoss(incarnation)
     this.submittedLosses.set(incarnation, this.context.head().steps.incarnations.get(incarnation)?.registeredAt)
     const { suspects, crashedTasks } = cause === IncarnationLossCause.Replaced ? assessCrash(this.context.head().steps, incarnation, { aliveAt, now: this.context.now(), begun }) : noSuspects
     this.context.log('worker-lost', {
       incarnation,
       cause,
+      clockAgeMilliseconds: Math.round(this.clocks.ageOf(incarnation, performance.now())),
       silentMilliseconds: Math.round(performance.now() - (this.lastReportAt.get(incarnation) ?? this.leadingSince)),
       runs: this.context.head().steps.incarnations.get(incarnation)?.runs.size ?? 0,
       begun: begun?.size,
@@ -435,12 +418,13 @@
     this.confirming = false
   }
 
-  private answer ({ supervisor, sequence, incarnation, clock, receivedAt }: PendingReport): void {
+  /** A lease counts from the first report of the clock reading for which it is granted: repeating the reading extends nothing. */
+  private answer ({ supervisor, sequence, incarnation, clock, clockReportedAt }: PendingReport): void {
     // The answer to the report of an earlier incarnation would grant the present one a lease on another clock.
     if (this.byCall.get(supervisor.call) !== supervisor || supervisor.incarnation !== incarnation) return
     const { leaseMilliseconds } = this.context
     const leaseUntil = this.incarnationToCommand(incarnation) !== undefined && clock > 0 ? Math.floor(clock + leaseMilliseconds) : 0
-    if (leaseUntil > 0) this.leaseExpiresAt.set(incarnation, Math.max(this.leaseExpiresAt.get(incarnation) ?? 0, receivedAt + this.maxLeaseMilliseconds))
+    if (leaseUntil > 0) this.leaseExpiresAt.set(incarnation, Math.max(this.leaseExpiresAt.get(incarnation) ?? 0, clockReportedAt + this.maxLeaseMilliseconds))
     this.sendOrders(supervisor, { sequence, leaseUntil }, this.listedRuns(incarnation))
   }
 
@@ -504,7 +488,7 @@
     })
     const notStarted = (report?.ends ?? []).filter(({ number }) => number === 0)
     const unexpected = [...report?.runs ?? [], ...notStarted].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
-    return [...stopping, ...unexpected, ...report === undefined ? [] : this.startsToRevoke(report)]
+    return [...stopping, ...unexpected, ...report === undefined ? [] : this.hostIncarnations.startsToRevoke(report)]
   }
 
   private submit (transaction: StepTransaction): void {
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -248,6 +248,23 @@
   expect(simulation.report).toBe('')
 })
 
+test('a worker that is lost for good while its agent keeps running is recorded as lost, and its job runs elsewhere', async () => {
+  const simulation = await Simulation.create()
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 3_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  simulation.site('a').machine.crash()
+  await simulation.run(4_500)
+  simulation.submitJob('y', { ...wholeWorker, milliseconds: 500 })
+  await simulation.until('both jobs end', () => simulation.state.steps.open.size === 0, 15_000)
+  expect(simulation.state.steps.jobs.get('y')?.gangs[0]?.[0]?.attempts).toBe(1)
+  for (const leader of [1, 2]) {
+    simulation.changeLeader(leader)
+    await simulation.run(20_000)
+    expect([...simulation.state.steps.incarnations.values()].map(({ host }) => host)).toEqual(['host-b'])
+  }
+  expect(simulation.report).toBe('')
+})
+
 test('an incarnation that is announced again after its lease has expired is not overloaded by what still ends there', async () => {
   const simulation = await Simulation.create({ sites: ['a'], times: { stop: 900, lapse: 900 } })
   const site = simulation.site('a')
