Let runs finish on a leaving worker that states how long it stays

Cause: a leaving worker states the minimum time that it stays in its heartbeat (remaining_ms). The adapter did not read it, so every run that would take more than 2.5 s was stopped.

Change: the adapter reads it, the agent reports what is left of it (remaining_milliseconds), and the leader stops a run there only if it cannot be expected to be done by then at its own pace, or by its estimate before it has shown one. A run with checkpoints that will not be done goes on until 3 s before. Without the statement everything is as before, except that a run that resumed from a checkpoint is judged by its observed pace or its estimate, as its percentage includes earlier work. A value that is no count is ignored.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -55,6 +55,8 @@
   /** What all runs that control has assigned to the worker occupy; absent before the first orders. */
   used?: Resources
   leaving: boolean
+  /** Until when a leaving worker stays at least, in monotonic milliseconds; absent where it does not state it. */
+  leavesAt?: number
   /** Highest value seen of the worker's own clock, in milliseconds. */
   clock: number
   /** When that value was read, in monotonic milliseconds. */
@@ -151,10 +153,10 @@
     if (current === undefined) { this.beginIncarnation(heartbeat); return }
     if (current.heartbeat.incarnation !== heartbeat.incarnation) { void this.checkSuccessor(current, heartbeat); return }
     recordClock(current, heartbeat.clock)
-    this.updateCapacity(current, heartbeat)
+    this.updateFromHeartbeat(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
-    this.options.log('worker-leaving', { incarnation: heartbeat.incarnation })
+    this.options.log('worker-leaving', { incarnation: heartbeat.incarnation, remainingMilliseconds: heartbeat.remainingMilliseconds })
     this.report()
   }
 
@@ -178,10 +180,11 @@
     this.options.log('heartbeat-ignored', { incarnation, current: tracked.heartbeat.incarnation, answer: typeof answer === 'string' ? answer : 'answers' })
   }
 
-  /** A late heartbeat must not bring an older capacity back. */
-  private updateCapacity (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
+  /** A late heartbeat must not bring an older capacity or time of leaving back. */
+  private updateFromHeartbeat (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
     if (heartbeat.sequence <= tracked.heartbeatSequence) return
     tracked.heartbeatSequence = heartbeat.sequence
+    tracked.leavesAt = leavesAtOf(heartbeat)
     if (sameResources(tracked.capacity, heartbeat)) return
     tracked.capacity = resourcesOf(heartbeat)
     this.report()
@@ -220,6 +223,7 @@
       capacity: resourcesOf(heartbeat),
       heartbeatSequence: heartbeat.sequence,
       leaving: heartbeat.leaving,
+      leavesAt: leavesAtOf(heartbeat),
       clock: heartbeat.clock,
       clockReadAt: performance.now(),
       leaseUntil: 0,
@@ -275,11 +279,13 @@
     const gone = [...this.endedIncarnations].slice(-8)
     if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
     const { worker, incarnation, startedAt, service, dataCentre, rack, labels } = current.heartbeat
+    const { leaving, leavesAt } = current
+    const remaining = leaving && leavesAt !== undefined && { remainingMilliseconds: Math.max(0, Math.round(leavesAt - performance.now())) }
     const runs = [...current.table.runs.values()].filter(({ phase }) => phase !== RunPhase.NotStarted)
     return WorkerReport.fromPartial({
       host,
       sequence: this.sequence,
-      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving: current.leaving },
+      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving, ...remaining },
       clock: current.clock,
       clockAge: performance.now() - current.clockReadAt,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
@@ -463,6 +469,10 @@
   }
 }
 
+function leavesAtOf ({ remainingMilliseconds }: WorkerHeartbeat): number | undefined {
+  return remainingMilliseconds === undefined ? undefined : performance.now() + remainingMilliseconds
+}
+
 function recordClock (tracked: TrackedIncarnation, clock: number): void {
   if (clock <= tracked.clock) return
   tracked.clock = clock
--- a/src/agent/worker-api.ts
+++ b/src/agent/worker-api.ts
@@ -19,6 +19,8 @@
   readonly memoryMegabytes: number
   readonly accelerators: number
   readonly leaving: boolean
+  /** Time that a leaving worker stays at least, in milliseconds; absent where it does not state it. */
+  readonly remainingMilliseconds?: number
   /** The worker's own clock, in milliseconds. */
   readonly clock: number
   /** Increases with each heartbeat of the incarnation. */
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -92,6 +92,8 @@
   private readonly lastReports = new Map<Supervisor, wire.WorkerReport>()
   private readonly signsOfLife = SignsOfLifeTracker.create()
   private readonly clocks: WorkerClocks
+  /** Until when leaving workers stay at least, in milliseconds since the epoch, by incarnation; without those that do not state it. */
+  private readonly leavesAt = new Map<string, number>()
   private readonly trust = SuspectTracker.create()
   private readonly checkpointSelector = CheckpointSelector.create()
   /** When the registration was made whose loss was submitted last, by incarnation. */
@@ -127,6 +129,7 @@
     this.unassignedRuns.clear()
     this.signsOfLife.clear()
     this.clocks.clear()
+    this.leavesAt.clear()
     this.submittedLosses.clear()
   }
 
@@ -214,6 +217,7 @@
       this.unassignedRuns.forget(incarnation)
       this.signsOfLife.forget(incarnation)
       this.clocks.forget(incarnation)
+      this.leavesAt.delete(incarnation)
     }
   }
 
@@ -226,6 +230,7 @@
       suspects: this.trust.suspects(now),
       progress: this.progress.all,
       aliveAt: this.signsOfLife.aliveAt,
+      leavesAt: this.leavesAt,
       complete: performance.now() - this.leadingSince > REPORTS_COMPLETE_AFTER_MILLISECONDS
     }
   }
@@ -301,7 +306,9 @@
   private handleIncarnation (report: wire.WorkerReport, life: wire.WorkerLife): void {
     const { host, runs } = report
     const recorded = this.context.head().steps.incarnations.get(life.incarnation)
-    const { leaving, ...description } = life
+    const { leaving, remainingMilliseconds, ...description } = life
+    if (leaving && remainingMilliseconds !== undefined) this.leavesAt.set(life.incarnation, this.context.now() + remainingMilliseconds)
+    else this.leavesAt.delete(life.incarnation)
     if (this.hostIncarnations.startsToRevoke(report).length === 0) {
       for (const other of this.hostIncarnations.others(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced, report)
       if (recorded === undefined && runs.length === 0 && this.clocks.mayRegister(life.incarnation, performance.now())) this.submitAnnouncement({ host, ...description })
--- a/src/core/steps/runs-to-stop.ts
+++ b/src/core/steps/runs-to-stop.ts
@@ -1,7 +1,7 @@
 /** Finds runs to stop: those that stall, that did not start on all workers in time, or whose worker is leaving. */
-import { StopReason, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
+import { StopReason, type Gang, type GangRun, type RunMember, type StepJob, type StepSpecification, type StepState } from './model'
 import { runName } from './run'
-import { assessStall, type LearnedRunTimes, type RunProgress, type StallAssessment } from './stall'
+import { assessStall, remainingTime, type LearnedRunTimes, type RunProgress, type StallAssessment } from './stall'
 import { StepTransactionKind, type GangKey, type StopGang } from './transactions'
 
 /** What the leader knows about runs that is not in the replicated state. */
@@ -11,14 +11,21 @@
   readonly progress: ReadonlyMap<string, RunProgress>
   /** Incarnations whose last heartbeat is overdue: their runs may still make progress, whatever their last report says. */
   readonly silent: ReadonlySet<string>
+  /** Until when leaving workers stay at least, in milliseconds since the epoch, by incarnation; without those that do not state it. */
+  readonly leavesAt?: ReadonlyMap<string, number>
   /** What the leader has learned of run times; absent where it has learned nothing. */
   readonly runTimes?: LearnedRunTimes
 }
 
 /** Time in which every member of a run must be reported as running; half of the time that a started gang waits for its members. */
 const START_TIMEOUT_MILLISECONDS = 1_500
-/** Remaining duration up to which a run on a leaving worker may complete; half of it for tasks with checkpoints. */
+/** Remaining duration up to which a run may complete on a worker that does not state how long it stays; half of it for tasks with checkpoints. */
 const MAX_REMAINING_WHEN_LEAVING_MILLISECONDS = 2_500
+/**
+ * Time before its worker leaves at which a run with checkpoints is stopped if it will not be done: the stop takes a report and
+ * a commit to reach the worker, and its last checkpoint takes a poll, a report and a commit to reach the log.
+ */
+const SAVE_MILLISECONDS = 3_000
 
 /**
  * Finds the runs to stop.
@@ -52,8 +59,8 @@
   const members = reported as RunProgress[]
   const learned = view.runTimes?.typicalMilliseconds(job, number)
   if (members.length > 0 && members.every((member) => assessStall(gang, run, step, member, view.now, learned).stalled)) return StopReason.Stalled
-  const leaving = remaining.some(({ incarnation }) => state.incarnations.get(incarnation)?.leaving === true)
-  return leaving && !endsSoon(step, run.startedAt, members, view.now) ? StopReason.WorkerLeaving : undefined
+  const leaving = remaining.filter(({ incarnation }) => state.incarnations.get(incarnation)?.leaving === true)
+  return leaving.length > 0 && !mayStay(step, run, members, view, leaving) ? StopReason.WorkerLeaving : undefined
 }
 
 /**
@@ -79,8 +86,12 @@
   return last
 }
 
-function endsSoon (step: StepSpecification, startedAt: number, members: readonly RunProgress[], now: number): boolean {
-  const percent = Math.min(...members.map((member) => member.percent))
-  const remaining = percent > 0 ? (now - startedAt) * (100 - percent) / percent : step.estimateMilliseconds
-  return remaining < (step.checkpoints ? MAX_REMAINING_WHEN_LEAVING_MILLISECONDS / 2 : MAX_REMAINING_WHEN_LEAVING_MILLISECONDS)
+/** Whether a run may go on although some of its workers are leaving. */
+function mayStay (step: StepSpecification, run: GangRun, members: readonly RunProgress[], view: RunsView, leaving: readonly RunMember[]): boolean {
+  let expected = 0
+  for (const member of members) expected = Math.max(expected, remainingTime(run, step, member, view.now))
+  let stated = Infinity
+  for (const { incarnation } of leaving) stated = Math.min(stated, (view.leavesAt?.get(incarnation) ?? -Infinity) - view.now)
+  if (stated === -Infinity) return expected < (step.checkpoints ? MAX_REMAINING_WHEN_LEAVING_MILLISECONDS / 2 : MAX_REMAINING_WHEN_LEAVING_MILLISECONDS)
+  return expected <= stated || (step.checkpoints && stated > SAVE_MILLISECONDS)
 }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -25,6 +25,8 @@
   readonly complete: boolean
   /** When this leader last saw each incarnation alive, in milliseconds since the epoch; absent where all count as alive. */
   readonly aliveAt?: ReadonlyMap<string, number>
+  /** Until when leaving workers stay at least, in milliseconds since the epoch, by incarnation; without those that do not state it. */
+  readonly leavesAt?: ReadonlyMap<string, number>
   /** What the leader has learned of run times; absent where it has learned nothing. */
   readonly runTimes?: LearnedRunTimes
 }
--- a/src/core/steps/stall.ts
+++ b/src/core/steps/stall.ts
@@ -93,6 +93,21 @@
   return { ...next, observedPercents: observed, percentMilliseconds: (percentMilliseconds * observedPercents + milliseconds) / observed }
 }
 
+/**
+ * Estimates the time until a run is done.
+ * @param run - the run
+ * @param step - its step
+ * @param progress - what is known of one of its members
+ * @param now - milliseconds since the epoch
+ * @returns milliseconds, at the run's own pace; by its estimate before it has shown one
+ */
+export function remainingTime (run: GangRun, step: StepSpecification, progress: RunProgress, now: number): number {
+  const { percent, percentMilliseconds } = progress
+  if (percentMilliseconds !== undefined) return percentMilliseconds * (100 - percent)
+  if (percent > 0 && run.startCheckpoint === '') return (now - run.startedAt) * (100 - percent) / percent
+  return step.estimateMilliseconds * (100 - percent) / 100
+}
+
 /**
  * Judges one member of a run.
  * @param gang - the gang; each of its attempts that stalled before gives it more time
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -82,6 +82,15 @@
   expect((await fixture.call('GET', '')).body).toEqual({ pending: 1 })
 })
 
+test('a run that can be done in the time that a leaving worker states stays there, and odd values are ignored', async () => {
+  await fixture.call('POST', '00000000000000a3', job('3200', { estimate_ms: 3_200 }))
+  await until(() => fixture.worker.observations.starts.length > 0)
+  expect(await fixture.sendHeartbeat({ state: 'draining', remaining_ms: 20_000 })).toBe(200)
+  await until(async () => await state('00000000000000a3') === 'completed')
+  expect(fixture.worker.observations.starts).toEqual(['00000000000000a3.0.0.0/1'])
+  for (const odd of ['soon', -1, null]) expect(await fixture.sendHeartbeat({ state: 'draining', remaining_ms: odd })).toBe(200)
+})
+
 test('a worker whose capacity shrinks gets only what fits, and what fits again once it has grown', async () => {
   await fixture.sendHeartbeat({ capacity: { cpu: 64_000, mem_mb: 131_072, gpu: 2 } })
   await fixture.call('POST', '00000000000000a4', job('20', { gpu: 4 }))
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -1,6 +1,6 @@
 /** Scheduling rounds of step jobs: placement, order of starts, preemption, and which runs are stopped. */
 import { expect, test } from 'vitest'
-import { Mechanism, policyWithout, RunOutcome, scheduleSteps, StepTransactionKind, StopReason, type FleetView, type StepTransaction } from '../src/core/index'
+import { Mechanism, policyWithout, RunOutcome, scheduleSteps, StepTransactionKind, StopReason, type FleetView, type RunProgress, type StepTransaction } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 function view (world: StepWorld, fields: Partial<FleetView> = {}): FleetView {
@@ -119,6 +119,33 @@
   expect(scheduleSteps(world.state.steps, view(world, { complete: true, progress: moving })).map(shown)).toEqual([`stop j ${StopReason.WorkerLeaving}`])
 })
 
+test('a run on a leaving worker is stopped only if it cannot be expected to finish there in the time that the worker states', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('j', [step({ estimateMilliseconds: 20_000 })])
+  world.submit('saving', [step({ estimateMilliseconds: 20_000, checkpoints: true })])
+  decide(world)
+  world.apply({ kind: StepTransactionKind.LeaveIncarnation, at: world.now, incarnation: 'a@1' })
+  world.now += 10_000
+  // Half of the work is done, at 200 ms for one percent.
+  const half = { running: true, percent: 50, changedAt: world.now, percentMilliseconds: 200, longestPercentMilliseconds: 250, observedPercents: 40 }
+  const progress = new Map([['j.0.0.1', half], ['saving.0.0.1', half]])
+  const stops = (remaining?: number, fields: Partial<RunProgress> = {}): string[] => {
+    const leavesAt = remaining === undefined ? undefined : new Map([['a@1', world.now + remaining]])
+    const reported = new Map([...progress].map(([name, known]) => [name, { ...known, ...fields }]))
+    return scheduleSteps(world.state.steps, view(world, { complete: true, progress: reported, leavesAt })).map(shown)
+  }
+  const [plain, saving] = [`stop j ${StopReason.WorkerLeaving}`, `stop saving ${StopReason.WorkerLeaving}`]
+  expect(stops()).toEqual([plain, saving])
+  expect(stops(12_000)).toEqual([])
+  expect(stops(9_000)).toEqual([plain])
+  expect(stops(3_100)).toEqual([plain])
+  expect(stops(2_900)).toEqual([plain, saving])
+  expect(stops(2_900, { percent: 90 })).toEqual([])
+  expect(stops(12_000, { percentMilliseconds: 400 })).toEqual([plain])
+  expect(stops(12_000, { percentMilliseconds: undefined, observedPercents: undefined })).toEqual([])
+  expect(stops(12_000, { percent: 0, percentMilliseconds: undefined })).toEqual([plain])
+})
+
 test('a run on a silent worker is not stopped, whatever its last report says', () => {
   const world = StepWorld.create([worker('a')])
   world.submit('j', [step()])
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -138,6 +138,16 @@
   expect(fixture.lastReport?.life).toBeUndefined()
 })
 
+test('the time that a leaving worker stays is reported, counted from its newest heartbeat', async () => {
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, leaving: true, sequence: 3, remainingMilliseconds: 9_000 })
+  fixture.supervisor.handleHeartbeat({ ...heartbeat, leaving: true, sequence: 2, remainingMilliseconds: 60_000 })
+  await until(() => fixture.lastReport?.life?.leaving === true)
+  const stated = fixture.lastReport?.life?.remainingMilliseconds ?? 0
+  expect(stated).toBeGreaterThan(7_000)
+  expect(stated).toBeLessThanOrEqual(9_000)
+  await until(() => (fixture.lastReport?.life?.remainingMilliseconds ?? 0) < stated)
+})
+
 test('a leaving worker gets no start, even one that control has already ordered', async () => {
   fixture.supervisor.handleHeartbeat({ ...heartbeat, leaving: true, sequence: 2 })
   fixture.standingOrders = { starts: [{ key, payload: 'text', checkpoint: '' }] }
