Bound the tasks of a job and the cost of a round with very many of them

Cause: waitingGangs passed all waiting gangs of a job as arguments of one call, which exceeds the stack at some 125,000; each round visited and sorted all waiting gangs, so that 200,000 that no worker can take held up the leader for longer than its followers wait.

Only steps are sorted, not their gangs. The gang of a task is found by its position. checkStepJob refuses a job of more than 20,000 tasks; jobs that earlier builds accepted go on. Open: the resend of such an older job is refused as not valid.

--- a/src/control/log-writer.ts
+++ b/src/control/log-writer.ts
@@ -42,9 +42,9 @@
       this.entries = []
       this.snapshot = { head: output.restore.head, data: output.restore.data }
     }
-    this.entries.push(...output.append)
+    for (const entry of output.append) this.entries.push(entry)
     this.hardState = output.hardState ?? this.hardState
-    this.afterSync.push(...output.afterSync)
+    for (const message of output.afterSync) this.afterSync.push(message)
   }
 
   /** Writes batches until the queue is empty. Calls during a write return at once, because the running loop also writes what was added. */
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -97,7 +97,7 @@
         await this.writeSnapshotFile(batch.snapshot)
         records.push(resetRecord(batch.snapshot.head))
       }
-      records.push(...batch.entries.map((entry): LogRecord => ({ kind: LogRecordKind.Entry, entry })))
+      for (const entry of batch.entries) records.push({ kind: LogRecordKind.Entry, entry })
       if (batch.hardState !== undefined) records.push(this.hardStateRecord(batch.hardState))
       await this.writeFrame(records)
       await this.rollSegment()
@@ -235,7 +235,7 @@
       }
       const read = await this.recoverSegment(name, position === names.length - 1)
       if (read.isErr()) return err(read.error)
-      records.push(...read.value)
+      for (const record of read.value) records.push(record)
     }
     return ok(records)
   }
--- a/src/core/steps/crash-isolation.ts
+++ b/src/core/steps/crash-isolation.ts
@@ -99,7 +99,7 @@
     return [{ at: gang.run.startedAt, suspect: isCrashSuspect(gang), urgent: queueOfJob(state, job).priority === URGENT_PRIORITY }]
   })
   const found = {
-    newest: Math.max(-Infinity, ...starts.map(({ at }) => at)),
+    newest: starts.reduce((newest, { at }) => Math.max(newest, at), -Infinity),
     newestSuspect: Math.max(-Infinity, ...starts.filter(({ suspect }) => suspect).map(({ at }) => at)),
     urgent: starts.some(({ urgent }) => urgent)
   }
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -218,7 +218,11 @@
  * @returns the gang, or undefined where the job has no such task
  */
 export function gangOf (job: StepJob | undefined, key: Pick<RunKey, 'step' | 'task'>): Gang | undefined {
-  return job?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
+  const gangs = job?.gangs[key.step]
+  const holdsTask = ({ first, size }: Gang): boolean => key.task >= first && key.task < first + size
+  // The gangs of a step have one size, so the position follows from the task; a search would cost more with each task.
+  const expected = gangs?.[Math.floor(key.task / (gangs[0]?.size ?? 1))]
+  return expected !== undefined && holdsTask(expected) ? expected : gangs?.find(holdsTask)
 }
 
 /**
--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -1,4 +1,5 @@
 /** Chooses the gangs to stop so that a gang of a higher priority can start, with as little lost work as possible. */
+import { gangIndex } from './gang-index'
 import { queueOfJob } from './jobs'
 import { addResources, gangOf, noResources, type GangRun, type WorkerIncarnation, type Resources, type StepJob, type StepSpecification, type StepState } from './model'
 import type { WaitingGang } from './waiting-gangs'
@@ -62,7 +63,8 @@
 
 /** Without a guarantee, only gangs with checkpoints may be preempted. */
 function victimsOf (job: StepJob, guaranteed: boolean, now: number): Victim[] {
-  return job.gangs.flatMap((gangs, number) => gangs.flatMap((gang, position): Victim[] => {
+  return gangIndex(job).running.flatMap((positions, number) => positions.flatMap((position): Victim[] => {
+    const gang = job.gangs[number]![position]!
     const { run } = gang
     const step = job.specification.steps[number]
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
--- a/src/core/steps/runs-to-stop.ts
+++ b/src/core/steps/runs-to-stop.ts
@@ -1,4 +1,5 @@
 /** Finds runs to stop: those that stall, that did not start on all workers in time, or whose worker is leaving. */
+import { gangIndex } from './gang-index'
 import { StopReason, type Gang, type GangRun, type RunMember, type StepJob, type StepSpecification, type StepState } from './model'
 import { runName } from './run'
 import { assessStall, remainingTime, type LearnedRunTimes, type RunProgress, type StallAssessment } from './stall'
@@ -38,11 +39,14 @@
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined) continue
-    job.gangs.forEach((gangs, step) => gangs.forEach((gang, position) => {
-      const reason = reasonToStop(state, job, step, gang, view)
-      if (reason === undefined || gang.run === undefined) return
-      stops.push({ kind: StepTransactionKind.StopGang, at: view.now, job: identifier, step, gang: position, attempt: gang.run.attempt, reason })
-    }))
+    for (const [step, positions] of gangIndex(job).running.entries()) {
+      for (const position of positions) {
+        const gang = job.gangs[step]![position]!
+        const reason = reasonToStop(state, job, step, gang, view)
+        if (reason === undefined || gang.run === undefined) continue
+        stops.push({ kind: StepTransactionKind.StopGang, at: view.now, job: identifier, step, gang: position, attempt: gang.run.attempt, reason })
+      }
+    }
   }
   return stops
 }
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -94,7 +94,7 @@
   const fresh = ends.filter(({ number }) => number === 0 || number > worker.acknowledged)
   for (const { key, outcome, checkpoint } of fresh) endMember(draft, key, incarnation, outcome, checkpoint)
   const updated = draft.steps.incarnations.get(incarnation)
-  const acknowledged = Math.max(worker.acknowledged, ...fresh.map(({ number }) => number))
+  const acknowledged = fresh.reduce((highest, { number }) => Math.max(highest, number), worker.acknowledged)
   if (updated !== undefined && acknowledged > worker.acknowledged) {
     setIncarnation(draft, { ...updated, acknowledged })
     draft.addEffect({ kind: EffectKind.IncarnationChanged, incarnation })
@@ -167,7 +167,9 @@
 }
 
 function gangKeyOf (job: StepJob, { step }: RunKey, gang: Gang): GangKey {
-  return { job: job.identifier, step, gang: job.gangs[step]?.indexOf(gang) ?? -1 }
+  const gangs = job.gangs[step] ?? []
+  const expected = Math.floor(gang.first / gang.size)
+  return { job: job.identifier, step, gang: gangs[expected] === gang ? expected : gangs.indexOf(gang) }
 }
 
 /**
@@ -179,7 +181,9 @@
  */
 export function replaceGang (job: StepJob, key: GangKey, gang: Gang): StepJob {
   const { step, gang: position } = key
-  return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? gangs.map((other, index) => index === position ? gang : other) : gangs) }
+  const replaced = job.gangs[step]?.slice() ?? []
+  if (position >= 0 && position < replaced.length) replaced[position] = gang
+  return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? replaced : gangs) }
 }
 
 function recordStart (draft: Draft, job: StepJob, { step }: GangKey, attempt: number, workers: readonly string[]): void {
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -2,7 +2,7 @@
 import { isCrashSuspect } from './crash-evidence'
 import { CrashIsolation } from './crash-isolation'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
-import { addResources, StopReason, type WorkerIncarnation, type StepState } from './model'
+import { addResources, StopReason, type StepJob, type StepSpecification, type WorkerIncarnation, type StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
@@ -67,6 +67,8 @@
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
   private readonly isolation: CrashIsolation
+  /** The last placement class, as the gangs of a step follow one another. */
+  private lastClass?: { readonly job: StepJob, readonly step: StepSpecification, readonly name: string, readonly placementClass: string }
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -175,6 +177,16 @@
    * class cannot be placed, the rest of its class is skipped.
    */
   private placementClass (waiting: WaitingGang): string {
+    const { job, step, gang } = waiting
+    const name = `${isCrashSuspect(gang)} ${gang.size}`
+    const { lastClass } = this
+    if (lastClass?.job === job && lastClass.step === step && lastClass.name === name) return lastClass.placementClass
+    const placementClass = this.newPlacementClass(waiting)
+    this.lastClass = { job, step, name, placementClass }
+    return placementClass
+  }
+
+  private newPlacementClass (waiting: WaitingGang): string {
     const { key, gang, queue, step, requirements, guaranteed } = waiting
     const scope = [isCrashSuspect(gang), queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
--- a/src/core/steps/specification.ts
+++ b/src/core/steps/specification.ts
@@ -9,6 +9,8 @@
 const MAX_PAYLOAD_CHARACTERS = 4_000
 const MAX_STEPS = 256
 const MAX_TASKS = 10_000
+/** Maximum number of tasks in all steps of a job: more than three times the tasks of the largest fleet. */
+const MAX_JOB_TASKS = 20_000
 
 const strict = { additionalProperties: false }
 const count = (maximum: number): ReturnType<typeof Type.Integer> => Type.Integer({ minimum: 0, maximum, default: 0 })
@@ -41,11 +43,16 @@
  */
 export function checkStepJob (value: unknown): Result<StepJobSpecification, Problem[]> {
   return checkAgainst(stepJobSchema, value).andThen((job) => {
-    const problems = job.steps.flatMap((step, position) => checkStepOrder(step, position))
+    const problems = [...checkTaskCount(job.steps), ...job.steps.flatMap((step, position) => checkStepOrder(step, position))]
     return problems.length > 0 ? err(problems) : ok(job)
   })
 }
 
+function checkTaskCount (steps: readonly StepSpecification[]): Problem[] {
+  const tasks = steps.reduce((sum, step) => sum + step.tasks, 0)
+  return tasks <= MAX_JOB_TASKS ? [] : [{ path: '/steps', value: `${tasks} tasks`, expected: `at most ${MAX_JOB_TASKS} tasks in all steps of a job` }]
+}
+
 /** A step may only depend on steps before it, which rules out cyclic dependencies. */
 function checkStepOrder ({ after }: StepSpecification, position: number): Problem[] {
   return after.flatMap((number, index) => number < position
--- a/src/core/steps/waiting-gangs.ts
+++ b/src/core/steps/waiting-gangs.ts
@@ -1,5 +1,6 @@
 /** Lists the waiting gangs in scheduling order. */
 import type { Queue } from './document'
+import { gangIndex } from './gang-index'
 import { queueOfJob } from './jobs'
 import { stepJobEnded, type Gang, type StepJob, type StepSpecification, type StepState } from './model'
 import { requirementsOf, type TaskRequirements } from './free-capacity'
@@ -46,33 +47,36 @@
 /**
  * Lists the waiting gangs in scheduling order, first come first served among equals. When a burst exceeds the capacity,
  * work that is already late yields to work that can still meet its objective; otherwise one late job would make every job
- * after it late as well.
+ * after it late as well. Of a step with very many waiting gangs, only the first ones are listed, see {@link gangIndex}.
  * @param state - state of the step jobs
  * @param guaranteed - see {@link guaranteedJobs}
  * @param now - milliseconds since the epoch
  * @returns sorted by priority, where jobs without remaining value come last; then guaranteed jobs first; then by forecast, then by age
  */
 export function waitingGangs (state: StepState, guaranteed: ReadonlySet<string>, now: number): WaitingGang[] {
-  const waiting: WaitingGang[] = []
+  const waiting: WaitingGang[][] = []
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined || stepJobEnded(job)) continue
-    waiting.push(...waitingOf(state, job, guaranteed.has(identifier), now))
+    for (const gangs of waitingOf(state, job, guaranteed.has(identifier), now)) waiting.push(gangs)
   }
-  return waiting.sort(compare)
+  // The gangs of a step are adjacent in the order, so only the steps are sorted.
+  return waiting.sort(([one], [other]) => compare(one!, other!)).flat()
 }
 
-function waitingOf (state: StepState, job: StepJob, guaranteed: boolean, now: number): WaitingGang[] {
+/** The waiting gangs of each step that has any, in order of their position. */
+function waitingOf (state: StepState, job: StepJob, guaranteed: boolean, now: number): WaitingGang[][] {
   const queue = queueOfJob(state, job)
+  const { waiting } = gangIndex(job)
+  if (waiting.every(({ length }) => length === 0)) return []
   const forecast = forecastOf(job, queue, now)
   return job.specification.steps.flatMap((step, number) => {
-    if (!stepsDone(job, step.after)) return []
-    const gangs = job.gangs[number] ?? []
+    const positions = waiting[number] ?? []
+    if (positions.length === 0) return []
     const requirements = requirementsOf(job.identifier, number, step)
-    return gangs.flatMap((gang, position): WaitingGang[] => {
-      if (gang.done || gang.run !== undefined) return []
-      return [{ key: { job: job.identifier, step: number, gang: position }, job, queue, step, requirements, gang, guaranteed, forecast }]
-    })
+    return [positions.map((position): WaitingGang => (
+      { key: { job: job.identifier, step: number, gang: position }, job, queue, step, requirements, gang: job.gangs[number]![position]!, guaranteed, forecast }
+    ))]
   })
 }
 
@@ -82,7 +86,7 @@
     one.forecast - other.forecast ||
     one.job.acceptedAt - other.job.acceptedAt ||
     (one.job.identifier < other.job.identifier ? -1 : Number(one.job.identifier > other.job.identifier)) ||
-    one.key.step - other.key.step || one.key.gang - other.key.gang
+    one.key.step - other.key.step
 }
 
 /** Subtracting two infinite ranks would give NaN. */
