Revoke starts of runs that ended lately at each new incarnation of a worker

Cause: orders name the worker and not its incarnation. The agent alone kept which starts had got no answer, in memory; the log had the run as ended. When the agent ended and the worker restarted under its name, nobody revoked a start that arrived after that, and the task ran twice.

At the incarnation on which a run ended nothing is revoked: it has seen the end, or the lease in the order has expired there.

--- a/src/control/host-incarnations.ts
+++ b/src/control/host-incarnations.ts
@@ -1,5 +1,5 @@
 /** The incarnations that the log has for each host, and what follows from them for the report of a host's agent. */
-import { runName, type RunKey, type StepState, type WorkerIncarnation } from '../core/index'
+import { revocableStartsAt, runName, type RunKey, type StepState, type WorkerIncarnation } from '../core/index'
 import type { WorkerLife, WorkerReport } from '../wire/index'
 
 /** Looks up the incarnations of a host in the current state. */
@@ -7,15 +7,16 @@
   /** The incarnations by host, for the map of incarnations that it was made from. */
   private index?: { readonly incarnations: StepState['incarnations'], readonly byHost: ReadonlyMap<string, readonly WorkerIncarnation[]> }
 
-  private constructor (private readonly steps: () => StepState) {}
+  private constructor (private readonly steps: () => StepState, private readonly now: () => number) {}
 
   /**
    * Creates the lookup.
    * @param steps - returns the current state
+   * @param now - returns milliseconds since the epoch
    * @returns the lookup
    */
-  static create (steps: () => StepState): HostIncarnations {
-    return new HostIncarnations(steps)
+  static create (steps: () => StepState, now: () => number): HostIncarnations {
+    return new HostIncarnations(steps, now)
   }
 
   /** The incarnations of a host other than the reported one. */
@@ -36,16 +37,22 @@
   }
 
   /**
-   * Runs of earlier incarnations of the reported worker that the agent has not yet settled at the present one. Orders name
-   * the worker and not its incarnation, so starts for an earlier one may be executed by the present one.
+   * Runs that must be settled at the reported incarnation before it is registered: those of earlier incarnations of its
+   * worker, and those that have ended lately. Orders name the worker and not its incarnation, so starts for an earlier one
+   * may be executed by the present one.
    */
-  startsToRevoke ({ host, life, ends }: WorkerReport): RunKey[] {
+  revocableStarts ({ host, life }: WorkerReport): RunKey[] {
     if (life === undefined) return []
-    const settled = new Set(ends.flatMap(({ key }) => key === undefined ? [] : [runName(key)]))
-    return this.others(host, life)
-      .filter(({ worker }) => worker === life.worker)
-      .flatMap(({ runs }) => [...runs.values()])
-      .filter((key) => !settled.has(runName(key)))
+    const { worker, incarnation } = life
+    const running = this.others(host, life).filter((other) => other.worker === worker).flatMap(({ runs }) => [...runs.values()])
+    const ended = this.steps().incarnations.has(incarnation) ? [] : revocableStartsAt(this.steps(), worker, incarnation, this.now())
+    return [...running, ...ended]
+  }
+
+  /** The revocable starts that the agent has not settled yet. */
+  startsToRevoke (report: WorkerReport): RunKey[] {
+    const settled = new Set(report.ends.flatMap(({ key }) => key === undefined ? [] : [runName(key)]))
+    return this.revocableStarts(report).filter((key) => !settled.has(runName(key)))
   }
 
   /** Kept until the incarnations change, since each report asks for it several times. */
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -122,6 +122,7 @@
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
     stoppedClocks: () => this.machine.leads ? this.supervisors.stoppedClockCount : 0,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
+    revocableStarts: () => this.machine.committed.steps.revocableStarts?.reduce((sum, starts) => sum + starts.length, 0) ?? 0,
     documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
 
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -16,6 +16,7 @@
   readonly silentWorkers: () => number
   readonly stoppedClocks: () => number
   readonly unassignedRuns: () => number
+  readonly revocableStarts: () => number
   readonly documentNumber: () => number
 }
 
@@ -37,6 +38,7 @@
   silentWorkers: 'Those of them that were not heard of in time',
   stoppedClocks: 'Those of them whose agents report although their own clock stands still',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
+  revocableStarts: 'Runs that ended within the last minute, starts of which are revoked at new incarnations of their worker',
   documentNumber: 'Number of the numbered document in force'
 }
 
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -106,7 +106,7 @@
 
   private constructor (private readonly context: SupervisorsContext) {
     this.unassignedRuns = UnassignedRuns.create(context.log)
-    this.hostIncarnations = HostIncarnations.create(() => context.head().steps)
+    this.hostIncarnations = HostIncarnations.create(() => context.head().steps, context.now)
     this.clocks = WorkerClocks.create(context.leaseMilliseconds * STOPPED_CLOCK_SHARE)
   }
 
@@ -311,7 +311,7 @@
     else this.leavesAt.delete(life.incarnation)
     if (this.hostIncarnations.startsToRevoke(report).length === 0) {
       for (const other of this.hostIncarnations.others(host, life)) this.submitLoss(other.incarnation, IncarnationLossCause.Replaced, report)
-      if (recorded === undefined && runs.length === 0 && this.clocks.mayRegister(life.incarnation, performance.now())) this.submitAnnouncement({ host, ...description })
+      if (recorded === undefined && runs.length === 0 && this.clocks.mayRegister(life.incarnation, performance.now())) this.submitAnnouncement({ host, ...description }, this.hostIncarnations.revocableStarts(report).length)
     }
     if (recorded !== undefined) this.submitCapacity(recorded, resourcesOf(life))
     if (leaving && recorded?.leaving !== true) this.submit({ kind: StepTransactionKind.LeaveIncarnation, at: this.context.now(), incarnation: life.incarnation })
@@ -336,9 +336,9 @@
   }
 
   /** A new incarnation is not lost before a full lease has passed, so that it can obtain its first lease. */
-  private submitAnnouncement (life: IncarnationDescription): void {
+  private submitAnnouncement (life: IncarnationDescription, revoked: number): void {
     const { incarnation, host, worker } = life
-    this.context.log('worker-announced', { incarnation, host, worker, term: this.context.term() })
+    this.context.log('worker-announced', { incarnation, host, worker, revoked, term: this.context.term() })
     this.leaseExpiresAt.set(life.incarnation, performance.now() + this.maxLeaseMilliseconds)
     this.submit({ kind: StepTransactionKind.AnnounceIncarnation, at: this.context.now(), life })
   }
@@ -493,7 +493,9 @@
     const stopping = [...life?.runs.values() ?? []].filter((key) => {
       return gangOf(jobs.get(key.job), key)?.run?.stopping !== undefined
     })
-    const notStarted = (report?.ends ?? []).filter(({ number }) => number === 0)
+    // The agent forgets a settled start when it is told to stop it again, so it is not told so before all of them are settled.
+    const kept = new Set(report === undefined ? [] : this.hostIncarnations.revocableStarts(report).map(runName))
+    const notStarted = (report?.ends ?? []).filter(({ number, key }) => number === 0 && key !== undefined && !kept.has(runName(key)))
     const unexpected = [...report?.runs ?? [], ...notStarted].flatMap(({ key }) => key === undefined || life?.runs.has(runName(key)) === true ? [] : [key])
     return [...stopping, ...unexpected, ...report === undefined ? [] : this.hostIncarnations.startsToRevoke(report)]
   }
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -7,6 +7,7 @@
 import type { RecordLine } from './record'
 import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
 import { announceIncarnation, leaveIncarnation, loseIncarnation, resizeIncarnation } from './steps/incarnations'
+import { expireRevocableStarts } from './steps/revocable-starts'
 import { endRuns, saveCheckpoints, startGang, stopGang } from './steps/runs'
 import { StepTransactionKind } from './steps/transactions'
 import type { State } from './state'
@@ -42,7 +43,7 @@
   [TransactionKind.CancelJobs]: cancelJobs,
   [TransactionKind.EndJobs]: endJobs,
   [TransactionKind.Refuse]: refuse,
-  [TransactionKind.Expire]: (draft, transaction) => { expireStepJobs(draft); return expire(draft, transaction) },
+  [TransactionKind.Expire]: (draft, transaction) => { expireStepJobs(draft); expireRevocableStarts(draft); return expire(draft, transaction) },
   [TransactionKind.SetHomes]: setHomes,
   [TransactionKind.ReturnWorker]: returnWorker,
   [StepTransactionKind.ReplaceDocument]: replaceDocument,
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,6 +1,7 @@
 export { assessCrash, CrashEvidence, noSuspects, type CrashAssessment, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
 export * from './model'
 export * from './resources'
+export { revocableStartsAt, type RevocableStart } from './revocable-starts'
 export * from './run'
 export * from './transactions'
 export {
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -2,6 +2,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument, Queue } from './document'
 import type { CrashedTasks, WorkerCrash } from './crash-evidence'
+import type { RevocableStarts } from './revocable-starts'
 import type { RunKey } from './run'
 
 /** Resources of a worker, or those that a task occupies on it. */
@@ -188,6 +189,8 @@
   readonly incarnations: ImmutableMap<string, WorkerIncarnation>
   /** Losses of the last while, oldest first. */
   readonly losses: readonly IncarnationLoss[]
+  /** Ended runs of which a start may still arrive at their worker; absent for none. */
+  readonly revocableStarts?: RevocableStarts
 }
 
 /** The zero of {@link addResources}. */
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -7,6 +7,7 @@
 import { endStepJob, markGangStopping, queueOfJob, setStepJob } from './jobs'
 import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type WorkerIncarnation, type StepJob, type StepSpecification } from './model'
 import { FreeCapacity, requirementsOf } from './free-capacity'
+import { recordRevocableStart } from './revocable-starts'
 import { StepTransactionKind, type EndRuns, type GangKey, type SaveCheckpoints, type StartGang, type StopGang, type TaskPlacement } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
@@ -115,6 +116,8 @@
   const gang = gangOf(job, key)
   const member = gang?.run?.members.find(({ task }) => task === key.task)
   if (job === undefined || gang?.run?.attempt !== key.attempt || member?.incarnation !== incarnation || member.ended) return
+  const worker = draft.steps.incarnations.get(incarnation)
+  if (worker !== undefined) recordRevocableStart(draft, worker.worker, incarnation, key)
   releaseTask(draft, key, incarnation, job)
   const members = gang.run.members.map((other) => other === member ? { ...other, ended: true } : other)
   const run = { ...gang.run, members, failed: gang.run.failed || outcome === RunOutcome.Failed }
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -2,6 +2,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument } from './document'
 import { initialStepState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
+import type { RevocableStart } from './revocable-starts'
 import { runName, type RunKey } from './run'
 
 /** An incarnation with its runs as a list. */
@@ -17,6 +18,8 @@
   readonly lives: readonly StoredIncarnation[]
   /** Absent for none. */
   readonly losses?: readonly IncarnationLoss[]
+  /** By worker; absent for none. */
+  readonly revocableStarts?: ReadonlyArray<readonly [string, readonly RevocableStart[]]>
 }
 
 /**
@@ -25,13 +28,14 @@
  * @returns the stored form
  */
 export function toStoredSteps (state: StepState): StoredStepState {
-  const { document, jobs, open, incarnations, losses } = state
+  const { document, jobs, open, incarnations, losses, revocableStarts } = state
   return {
     document,
     jobs: valuesByKey(jobs),
     open: open.toArray().sort(),
     lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) })),
-    ...losses.length > 0 && { losses }
+    ...losses.length > 0 && { losses },
+    ...revocableStarts !== undefined && { revocableStarts: [...revocableStarts.entries()].sort(([one], [other]) => one < other ? -1 : 1) }
   }
 }
 
@@ -47,7 +51,8 @@
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
     open: ImmutableSet(stored.open),
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
-    losses: stored.losses ?? []
+    losses: stored.losses ?? [],
+    ...stored.revocableStarts !== undefined && { revocableStarts: ImmutableMap(stored.revocableStarts) }
   }
 }
 
--- a/test/step-runs.test.ts
+++ b/test/step-runs.test.ts
@@ -1,6 +1,6 @@
 /** Log entries on step jobs, runs and workers: repeated, outdated and invalid entries must not corrupt the state. */
 import { expect, test } from 'vitest'
-import { apply, decodeState, encodeState, RunOutcome, stateDigest, StepJobState, StepTransactionKind, StopReason, type RunKey } from '../src/core/index'
+import { apply, decodeState, encodeState, revocableStartsAt, runName, RunOutcome, stateDigest, StepJobState, StepTransactionKind, StopReason, TransactionKind, type RunKey } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 const key = (task: number, attempt = 1, number = 0, job = 'j'): RunKey => ({ job, step: number, task, attempt })
@@ -155,6 +155,33 @@
   expect(world.state.steps.document).toMatchObject({ number: 5, source: 'five' })
 })
 
+test('starts of ended runs stay revocable at later incarnations of the worker for a minute, and only there', () => {
+  const world = StepWorld.create([worker('a')])
+  const empty = stateDigest(world.state)
+  world.submit('j', [step({ tasks: 3 })])
+  world.start('j', 0, 0, ['a@1'])
+  world.start('j', 0, 1, ['a@1'])
+  world.end('a@1', key(0), RunOutcome.Done)
+  world.now += 40_000
+  world.apply({ kind: StepTransactionKind.LoseIncarnation, at: world.now, incarnation: 'a@1', checkpoints: [] })
+  const revocable = (incarnation: string): string[] => revocableStartsAt(world.state.steps, 'a', incarnation, world.now).map(runName)
+  expect(revocable('a@2')).toEqual(['j.0.0.1', 'j.0.1.1'])
+  // The incarnation on which they ended does not start them again, or their lease has expired there.
+  expect(revocable('a@1')).toEqual([])
+  expect(revocableStartsAt(world.state.steps, 'b', 'b@1', world.now)).toEqual([])
+  const restored = decodeState(encodeState(world.state))
+  expect(stateDigest(restored)).toBe(stateDigest(world.state))
+  expect(revocableStartsAt(restored.steps, 'a', 'a@2', world.now)).toHaveLength(2)
+  world.now += 20_001
+  expect(revocable('a@2')).toEqual(['j.0.1.1'])
+  world.now += 40_000
+  expect(revocable('a@2')).toEqual([])
+  world.apply({ kind: TransactionKind.Expire, at: world.now })
+  expect(world.state.steps.revocableStarts).toBeUndefined()
+  expect(encodeState(StepWorld.create([worker('a')]).state).toString()).not.toContain('revocable')
+  expect(empty).toBe(stateDigest(StepWorld.create([worker('a')]).state))
+})
+
 test('a snapshot restores the complete state, and the same entries give the same state', () => {
   const make = (): StepWorld => {
     const world = StepWorld.create([worker('a'), worker('b')])
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -149,8 +149,7 @@
   expect(simulation.report).toBe('')
 })
 
-// Known to fail (KNOWN-RED.txt): nobody remembers the start. Fails the run once the fault is fixed.
-test.fails('a late start of an agent that ended, whose run has ended since, does not run again after the worker restarted under its name', async () => {
+test('a late start of an agent that ended, whose run has ended since, does not run again after the worker restarted under its name', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
   nextStarts(site, [{ after: 5_000, unanswered: true }])
@@ -164,6 +163,52 @@
   expect(simulation.report).toBe('')
 })
 
+test('a late start is revoked at each further incarnation, also by the next leader, and no longer after a minute', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 20_000, unanswered: true }])
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 500 })
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  const stops: string[] = []
+  site.fate = ({ kind, key }) => { if (kind === 'stop' && key !== undefined) stops.push(key.job); return normalFate }
+  for (const leader of [1, 2]) {
+    site.killAgent()
+    restartWorker(site)
+    simulation.changeLeader(leader)
+    site.startAgent()
+    const before = stops.length
+    await simulation.until('the start is revoked and the worker registered', () => stops.length > before && simulation.state.steps.incarnations.size === 1)
+    await simulation.run(3_000)
+  }
+  await simulation.run(20_000)
+  expect(simulation.report).toBe('')
+  await simulation.run(45_000)
+  stops.length = 0
+  site.killAgent()
+  restartWorker(site)
+  site.startAgent()
+  await simulation.until('the worker is registered', () => simulation.state.steps.incarnations.size === 1)
+  await simulation.run(2_000)
+  expect(stops).toEqual([])
+})
+
+test('a worker with many late starts is registered only once all of them are revoked, although they are settled one by one', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  for (let number = 0; number < 8; number++) simulation.submitJob(`j${number}`, { ...wholeWorker, accelerators: 1, milliseconds: 300 })
+  await simulation.until('the jobs end', () => simulation.state.steps.open.size === 0)
+  site.killAgent()
+  restartWorker(site)
+  let stops = 0
+  site.fate = ({ kind }) => { stops += Number(kind === 'stop'); return kind === 'stop' ? { after: 30 * stops } : normalFate }
+  site.startAgent()
+  await simulation.until('the earlier incarnation is replaced', () => [...simulation.state.steps.incarnations.keys()].every((incarnation) => incarnation === site.machine.incarnation))
+  expect(stops).toBe(8)
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 300 })
+  await simulation.until('the next job ends', () => simulation.state.steps.open.size === 0)
+  expect(simulation.report).toBe('')
+})
+
 test('a start for an incarnation whose worker restarted under its name unnoticed does not overload it', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
