--- a/src/control/decision-log.ts
+++ b/src/control/decision-log.ts
@@ -1,5 +1,5 @@
 /** Logs and counts each decision on a gang, with those of its inputs that are not available later. */
-import { assessGangStall, explainWaiting, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StepGangSuspected, type StepRunEnded, type StopGang, type Transaction, type WaitingReason } from '../core/index'
+import { explainWaiting, stopInputs, StepTransactionKind, StopReason, type FleetView, type StartGang, type State, type StepGangSuspected, type StepRunEnded, type StopGang, type Transaction, type WaitingReason } from '../core/index'
 import type { ControlMetrics } from './metrics'
 import type { Supervisors } from './supervisors'
 
@@ -113,15 +113,8 @@
     metrics.countGangStop(reason)
     if (reason === StopReason.Stalled) supervisors.suspectStalled(workers)
     const percents = supervisors.progressPercents({ job, step, attempt }, run?.members.map(({ task }) => task) ?? [])
-    const stall = reason === StopReason.Stalled ? assessGangStall(head.steps, supervisors.fleetView(), decision) : undefined
-    log('gang-stopped', {
-      ...this.inputsOf(head, decision),
-      reason,
-      workers,
-      percents,
-      runMilliseconds: now() - (run?.startedAt ?? 0),
-      ...stall !== undefined && { quietMilliseconds: stall.quietMilliseconds, allowedMilliseconds: Math.round(stall.allowedMilliseconds) }
-    })
+    const inputs = stopInputs(head.steps, supervisors.fleetView(), decision)
+    log('gang-stopped', { ...this.inputsOf(head, decision), reason, workers, percents, runMilliseconds: now() - (run?.startedAt ?? 0), ...inputs })
   }
 
   private inputsOf (head: State, { job, step, gang, attempt }: StartGang | StopGang): GangInputs {
--- a/src/core/steps/runs-to-stop.ts
+++ b/src/core/steps/runs-to-stop.ts
@@ -2,8 +2,8 @@
 import { gangIndex } from './gang-index'
 import { StopReason, type Gang, type GangRun, type RunMember, type StepJob, type StepSpecification, type StepState } from './model'
 import { runName } from './run'
-import { assessStall, remainingTime, type LearnedRunTimes, type RunProgress, type StallAssessment } from './stall'
-import { StepTransactionKind, type GangKey, type StopGang } from './transactions'
+import { assessStall, remainingTime, type LearnedRunTimes, type RunProgress } from './stall'
+import { StepTransactionKind, type StopGang } from './transactions'
 
 /** What the leader knows about runs that is not in the replicated state. */
 export interface RunsView {
@@ -67,35 +67,56 @@
   return leaving.length > 0 && !mayStay(step, run, members, view, leaving) ? StopReason.WorkerLeaving : undefined
 }
 
+/** Times on which a stop is based, in milliseconds; each only where it was used. */
+export interface StopInputs {
+  /** Time since the last sign of life of the member that showed the latest one. */
+  readonly quietMilliseconds?: number
+  /** Time without a sign of life that this member was allowed. */
+  readonly allowedMilliseconds?: number
+  /** Time until the run would have been done. */
+  readonly expectedMilliseconds?: number
+  /** Time that its leaving workers stay at least; absent where one of them does not state it. */
+  readonly statedMilliseconds?: number
+}
+
 /**
- * The inputs on which the members of a gang's run are judged, for the log.
+ * Collects the inputs of a stop for the log.
  * @param state - state of the step jobs
  * @param view - what the leader knows beyond the replicated state
- * @param key - the gang
- * @returns the assessment of the member that was quiet for the shortest time; undefined where no member is reported
+ * @param stop - the stop
+ * @returns the inputs; none for reasons that depend on no times
  */
-export function assessGangStall (state: StepState, view: RunsView, key: GangKey): StallAssessment | undefined {
-  const job = state.jobs.get(key.job)
-  const gang = job?.gangs[key.step]?.[key.gang]
-  const step = job?.specification.steps[key.step]
-  if (job === undefined || gang?.run === undefined || step === undefined) return undefined
+export function stopInputs (state: StepState, view: RunsView, stop: StopGang): StopInputs {
+  const job = state.jobs.get(stop.job)
+  const gang = job?.gangs[stop.step]?.[stop.gang]
+  const step = job?.specification.steps[stop.step]
+  if (job === undefined || gang?.run === undefined || step === undefined) return {}
   const { run } = gang
-  const learned = view.runTimes?.typicalMilliseconds(job, key.step)
-  let last: StallAssessment | undefined
-  for (const { task, ended } of run.members) {
-    const progress = ended ? undefined : view.progress.get(runName({ job: key.job, step: key.step, task, attempt: run.attempt }))
-    const assessed = progress === undefined ? undefined : assessStall(gang, run, step, progress, view.now, learned)
-    if (assessed !== undefined && assessed.quietMilliseconds < (last?.quietMilliseconds ?? Infinity)) last = assessed
+  const remaining = run.members.filter(({ ended }) => !ended)
+  const members = remaining.flatMap(({ task }) => view.progress.get(runName({ job: stop.job, step: stop.step, task, attempt: run.attempt })) ?? [])
+  if (stop.reason === StopReason.WorkerLeaving) {
+    const { expected, stated } = timesLeft(step, run, members, view, remaining.filter(({ incarnation }) => state.incarnations.get(incarnation)?.leaving === true))
+    return { expectedMilliseconds: Math.round(expected), ...stated !== undefined && { statedMilliseconds: Math.round(stated) } }
   }
-  return last
+  if (stop.reason !== StopReason.Stalled) return {}
+  const learned = view.runTimes?.typicalMilliseconds(job, stop.step)
+  const assessed = members.map((member) => assessStall(gang, run, step, member, view.now, learned))
+  const latest = assessed.sort((one, other) => one.quietMilliseconds - other.quietMilliseconds)[0]
+  return latest === undefined ? {} : { quietMilliseconds: latest.quietMilliseconds, allowedMilliseconds: Math.round(latest.allowedMilliseconds) }
 }
 
-/** Whether a run may go on although some of its workers are leaving. */
-function mayStay (step: StepSpecification, run: GangRun, members: readonly RunProgress[], view: RunsView, leaving: readonly RunMember[]): boolean {
+/** Milliseconds that a run still needs, and those that its leaving workers stay at least; undefined where one of them does not state it. */
+function timesLeft (step: StepSpecification, run: GangRun, members: readonly RunProgress[], view: RunsView, leaving: readonly RunMember[]): { readonly expected: number, readonly stated?: number } {
   let expected = 0
   for (const member of members) expected = Math.max(expected, remainingTime(run, step, member, view.now))
   let stated = Infinity
   for (const { incarnation } of leaving) stated = Math.min(stated, (view.leavesAt?.get(incarnation) ?? -Infinity) - view.now)
-  if (stated === -Infinity) return expected < (step.checkpoints ? MAX_REMAINING_WHEN_LEAVING_MILLISECONDS / 2 : MAX_REMAINING_WHEN_LEAVING_MILLISECONDS)
+  return Number.isFinite(stated) ? { expected, stated } : { expected }
+}
+
+/** Whether a run may go on although some of its workers are leaving. */
+function mayStay (step: StepSpecification, run: GangRun, members: readonly RunProgress[], view: RunsView, leaving: readonly RunMember[]): boolean {
+  const { expected, stated } = timesLeft(step, run, members, view, leaving)
+  if (stated === undefined) return expected < (step.checkpoints ? MAX_REMAINING_WHEN_LEAVING_MILLISECONDS / 2 : MAX_REMAINING_WHEN_LEAVING_MILLISECONDS)
   return expected <= stated || (step.checkpoints && stated > SAVE_MILLISECONDS)
 }
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -1,6 +1,6 @@
 /** Scheduling rounds of step jobs: placement, order of starts, preemption, and which runs are stopped. */
 import { expect, test } from 'vitest'
-import { Mechanism, policyWithout, RunOutcome, scheduleSteps, StepTransactionKind, StopReason, type FleetView, type RunProgress, type StepTransaction } from '../src/core/index'
+import { Mechanism, policyWithout, RunOutcome, scheduleSteps, StepTransactionKind, stopInputs, StopReason, type FleetView, type RunProgress, type StepTransaction } from '../src/core/index'
 import { step, StepWorld, worker } from './steps-fixture'
 
 function view (world: StepWorld, fields: Partial<FleetView> = {}): FleetView {
@@ -144,6 +144,12 @@
   expect(stops(12_000, { percentMilliseconds: 400 })).toEqual([plain])
   expect(stops(12_000, { percentMilliseconds: undefined, observedPercents: undefined })).toEqual([])
   expect(stops(12_000, { percent: 0, percentMilliseconds: undefined })).toEqual([plain])
+  const stop = { kind: StepTransactionKind.StopGang, at: world.now, job: 'j', step: 0, gang: 0, attempt: 1 } as const
+  const stated = view(world, { progress, leavesAt: new Map([['a@1', world.now + 9_000]]) })
+  expect(stopInputs(world.state.steps, stated, { ...stop, reason: StopReason.WorkerLeaving })).toEqual({ expectedMilliseconds: 10_000, statedMilliseconds: 9_000 })
+  expect(stopInputs(world.state.steps, { ...stated, leavesAt: undefined }, { ...stop, reason: StopReason.WorkerLeaving })).toEqual({ expectedMilliseconds: 10_000 })
+  expect(stopInputs(world.state.steps, stated, { ...stop, reason: StopReason.Stalled })).toEqual({ quietMilliseconds: 0, allowedMilliseconds: 3_500 })
+  expect(stopInputs(world.state.steps, stated, { ...stop, reason: StopReason.Preempted })).toEqual({})
 })
 
 test('a run on a silent worker is not stopped, whatever its last report says', () => {
