--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -62,8 +62,12 @@
   /** What all runs that control has assigned to the worker occupy; absent before the first orders. */
   used?: Resources
   leaving: boolean
+  /** Until when a leaving worker stays at least, in monotonic milliseconds; absent where it does not state it. */
+  leavesAt?: number
   /** Highest value seen of the worker's own clock, in milliseconds. */
   clock: number
+  /** When that value was read, in monotonic milliseconds. */
+  clockReadAt: number
   /** End of the lease on that clock, 0 before the first grant. */
   leaseUntil: number
   table: RunTable
@@ -159,11 +163,11 @@
     const { current } = this
     if (current === undefined) { this.beginIncarnation(heartbeat); return }
     if (current.heartbeat.incarnation !== heartbeat.incarnation) { void this.checkSuccessor(current, heartbeat); return }
-    current.clock = Math.max(current.clock, heartbeat.clock)
-    this.updateCapacity(current, heartbeat)
+    recordClock(current, heartbeat.clock)
+    this.updateFromHeartbeat(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
-    this.options.log('worker-leaving', { incarnation: heartbeat.incarnation })
+    this.options.log('worker-leaving', { incarnation: heartbeat.incarnation, remainingMilliseconds: heartbeat.remainingMilliseconds })
     this.report()
   }
 
@@ -187,10 +191,11 @@
     this.options.log('heartbeat-ignored', { incarnation, current: tracked.heartbeat.incarnation, answer: typeof answer === 'string' ? answer : 'answers' })
   }
 
-  /** A late heartbeat must not bring an older capacity back. */
-  private updateCapacity (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
+  /** A late heartbeat must not bring an older capacity or time of leaving back. */
+  private updateFromHeartbeat (tracked: TrackedIncarnation, heartbeat: WorkerHeartbeat): void {
     if (heartbeat.sequence <= tracked.heartbeatSequence) return
     tracked.heartbeatSequence = heartbeat.sequence
+    tracked.leavesAt = leavesAtOf(heartbeat)
     if (sameResources(tracked.capacity, heartbeat)) return
     tracked.capacity = resourcesOf(heartbeat)
     this.report()
@@ -229,7 +234,9 @@
       capacity: resourcesOf(heartbeat),
       heartbeatSequence: heartbeat.sequence,
       leaving: heartbeat.leaving,
+      leavesAt: leavesAtOf(heartbeat),
       clock: heartbeat.clock,
+      clockReadAt: performance.now(),
       leaseUntil: 0,
       table: unanswered.reduce((table, key) => addRun(table, key, RunPhase.Stopping), emptyRunTable),
       startOrders: new Map(),
@@ -285,12 +292,15 @@
     const gone = [...this.endedIncarnations].slice(-8)
     if (current?.reportable !== true) return WorkerReport.fromPartial({ host, sequence: this.sequence, gone })
     const { worker, incarnation, startedAt, service, dataCentre, rack, labels } = current.heartbeat
+    const { leaving, leavesAt } = current
+    const remaining = leaving && leavesAt !== undefined && { remainingMilliseconds: Math.max(0, Math.round(leavesAt - performance.now())) }
     const runs = [...current.table.runs.values()].filter(({ phase }) => phase !== RunPhase.NotStarted)
     return WorkerReport.fromPartial({
       host,
       sequence: this.sequence,
-      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving: current.leaving },
+      life: { worker, incarnation, startedAt, service, dataCentre, rack, labels: [...labels], ...current.capacity, leaving, ...remaining },
       clock: current.clock,
+      clockAge: performance.now() - current.clockReadAt,
       runs: runs.map(({ key, listed, percent, checkpoint }) => ({ key, running: listed, percent, checkpoint })),
       ends: endsToReport(current.table),
       gone,
@@ -418,7 +428,7 @@
   }
 
   private handleAnswer (tracked: TrackedIncarnation, { outcome, clock }: OrderAnswer): void {
-    tracked.clock = Math.max(tracked.clock, clock)
+    recordClock(tracked, clock)
     if (unansweredOutcomes.has(outcome)) tracked.verified = false
   }
 
@@ -446,7 +456,7 @@
     if (typeof lists === 'string') { tracked.verified = false; await this.waitForWake(RETRY_MILLISECONDS); return }
     tracked.verified = true
     if (verified) tracked.polledAcknowledged = acknowledged
-    tracked.clock = Math.max(tracked.clock, lists.clock)
+    recordClock(tracked, lists.clock)
     const before = tracked.table
     tracked.table = applyRunLists(before, lists, confirmedStops)
     this.resumeStops(tracked)
@@ -473,6 +483,16 @@
   }
 }
 
+function leavesAtOf ({ remainingMilliseconds }: WorkerHeartbeat): number | undefined {
+  return remainingMilliseconds === undefined ? undefined : performance.now() + remainingMilliseconds
+}
+
+function recordClock (tracked: TrackedIncarnation, clock: number): void {
+  if (clock <= tracked.clock) return
+  tracked.clock = clock
+  tracked.clockReadAt = performance.now()
+}
+
 /** A poll that only shows which incarnation answers. */
 const identityPoll: PollRequest = { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -125,10 +125,12 @@
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
     slowWorkers: () => this.pace.slowCount,
-    unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
-    documentNumber: () => this.machine.committed.steps.document?.number ?? 0,
     evacuatedDataCentres: () => evacuatedDataCentres(this.machine.committed.steps).length,
-    evacuatedRuns: () => [...evacuatedRuns(this.machine.committed.steps).values()].reduce((sum, runs) => sum + runs, 0)
+    evacuatedRuns: () => [...evacuatedRuns(this.machine.committed.steps).values()].reduce((sum, runs) => sum + runs, 0),
+    stoppedClocks: () => this.machine.leads ? this.supervisors.stoppedClockCount : 0,
+    unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
+    revocableStarts: () => this.machine.committed.steps.revocableStarts?.reduce((sum, starts) => sum + starts.length, 0) ?? 0,
+    documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
 
   private readonly refusals = new Map<string, CountedRefusal>()
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -15,7 +15,9 @@
   readonly supervisedWorkers: () => number
   readonly silentWorkers: () => number
   readonly slowWorkers: () => number
+  readonly stoppedClocks: () => number
   readonly unassignedRuns: () => number
+  readonly revocableStarts: () => number
   readonly documentNumber: () => number
   readonly evacuatedDataCentres: () => number
   readonly evacuatedRuns: () => number
@@ -38,10 +40,12 @@
   supervisedWorkers: 'Incarnations of workers that run tasks of jobs of steps',
   silentWorkers: 'Those of them that were not heard of in time',
   slowWorkers: 'Workers whose learned pace is clearly below that of a typical one',
-  unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
-  documentNumber: 'Number of the numbered document in force',
   evacuatedDataCentres: 'Data centres that get no new work',
-  evacuatedRuns: 'Tasks of jobs of steps that still run in evacuated data centres'
+  evacuatedRuns: 'Tasks of jobs of steps that still run in evacuated data centres',
+  stoppedClocks: 'Those of them whose agents report although their own clock stands still',
+  unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
+  revocableStarts: 'Runs that ended within the last minute, starts of which are revoked at new incarnations of their worker',
+  documentNumber: 'Number of the numbered document in force'
 }
 
 /** The Prometheus metrics of a control host. */
--- a/src/core/steps/expected-ends.ts
+++ b/src/core/steps/expected-ends.ts
@@ -1,6 +1,6 @@
 /** When running tasks are expected to end, from the progress that they have shown, or from their estimates where they have shown none. */
 import { gangOf, type Resources, type StepState } from './model'
-import type { RunProgress } from './runs-to-stop'
+import type { RunProgress } from './stall'
 import type { RunKey } from './run'
 
 /** Progress from which the remaining time of a run is derived, in percent; below it, whole percents are too coarse. */
--- a/src/core/steps/learning/comparable-tasks.ts
+++ b/src/core/steps/learning/comparable-tasks.ts
@@ -1,6 +1,6 @@
 /** Selects the running tasks whose progress shows the pace of their worker. */
 import type { StepState } from '../model'
-import type { RunProgress } from '../runs-to-stop'
+import type { RunProgress } from '../stall'
 import type { TaskProgress } from './worker-pace'
 
 /**
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -2,6 +2,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument, Queue } from './document'
 import type { CrashedTasks, WorkerCrash } from './crash-evidence'
+import type { RevocableStarts } from './revocable-starts'
 import type { RunKey } from './run'
 
 /** Resources of a worker, or those that a task occupies on it. */
@@ -108,6 +109,8 @@
   readonly crashes?: readonly WorkerCrash[]
   /** The tasks under each crash, also under those that do not count; absent for crashes that earlier versions recorded. */
   readonly crashedTasks?: readonly CrashedTasks[]
+  /** Number of attempts that were stopped because they stalled; absent for none. */
+  readonly stalls?: number
   /** Present until every member has ended. */
   readonly run?: GangRun
 }
@@ -210,6 +213,8 @@
   readonly losses: readonly IncarnationLoss[]
   /** Absent until the first evacuation. */
   readonly evacuations?: EvacuationState
+  /** Ended runs of which a start may still arrive at their worker; absent for none. */
+  readonly revocableStarts?: RevocableStarts
 }
 
 /** The zero of {@link addResources}. */
@@ -240,7 +245,11 @@
  * @returns the gang, or undefined where the job has no such task
  */
 export function gangOf (job: StepJob | undefined, key: Pick<RunKey, 'step' | 'task'>): Gang | undefined {
-  return job?.gangs[key.step]?.find(({ first, size }) => key.task >= first && key.task < first + size)
+  const gangs = job?.gangs[key.step]
+  const holdsTask = ({ first, size }: Gang): boolean => key.task >= first && key.task < first + size
+  // The gangs of a step have one size, so the position follows from the task; a search would cost more with each task.
+  const expected = gangs?.[Math.floor(key.task / (gangs[0]?.size ?? 1))]
+  return expected !== undefined && holdsTask(expected) ? expected : gangs?.find(holdsTask)
 }
 
 /**
--- a/src/core/steps/runs.ts
+++ b/src/core/steps/runs.ts
@@ -8,6 +8,7 @@
 import { endStepJob, markGangStopping, queueOfJob, setStepJob } from './jobs'
 import { addResources, gangOf, StepJobState, stepJobEnded, StopReason, type Gang, type GangRun, type WorkerIncarnation, type StepJob, type StepSpecification } from './model'
 import { FreeCapacity, requirementsOf } from './free-capacity'
+import { recordRevocableStart } from './revocable-starts'
 import { StepTransactionKind, type EndRuns, type GangKey, type SaveCheckpoints, type StartGang, type StopGang, type TaskPlacement } from './transactions'
 import { runName, type RunKey, RunOutcome } from './run'
 
@@ -60,7 +61,9 @@
   const job = draft.steps.jobs.get(transaction.job)
   const gang = job?.gangs[transaction.step]?.[transaction.gang]
   if (job === undefined || gang?.run?.attempt !== transaction.attempt) return ok(undefined)
-  setStepJob(draft, replaceGang(job, transaction, markGangStopping(draft, gang, transaction.reason)))
+  const stopping = markGangStopping(draft, gang, transaction.reason)
+  const stalled = transaction.reason === StopReason.Stalled && stopping !== gang
+  setStepJob(draft, replaceGang(job, transaction, stalled ? { ...stopping, stalls: (gang.stalls ?? 0) + 1 } : stopping))
   draft.recordEvent({ kind: transaction.kind, account: job.account, job: job.identifier, attempt: transaction.attempt, step: transaction.step, reason: transaction.reason })
   return ok(undefined)
 }
@@ -94,7 +97,7 @@
   const fresh = ends.filter(({ number }) => number === 0 || number > worker.acknowledged)
   for (const { key, outcome, checkpoint } of fresh) endMember(draft, key, incarnation, outcome, checkpoint)
   const updated = draft.steps.incarnations.get(incarnation)
-  const acknowledged = Math.max(worker.acknowledged, ...fresh.map(({ number }) => number))
+  const acknowledged = fresh.reduce((highest, { number }) => Math.max(highest, number), worker.acknowledged)
   if (updated !== undefined && acknowledged > worker.acknowledged) {
     setIncarnation(draft, { ...updated, acknowledged })
     draft.addEffect({ kind: EffectKind.IncarnationChanged, incarnation })
@@ -115,6 +118,8 @@
   const gang = gangOf(job, key)
   const member = gang?.run?.members.find(({ task }) => task === key.task)
   if (job === undefined || gang?.run?.attempt !== key.attempt || member?.incarnation !== incarnation || member.ended) return
+  const worker = draft.steps.incarnations.get(incarnation)
+  if (worker !== undefined) recordRevocableStart(draft, worker.worker, incarnation, key)
   releaseTask(draft, key, incarnation, job)
   const members = gang.run.members.map((other) => other === member ? { ...other, ended: true } : other)
   const run = { ...gang.run, members, failed: gang.run.failed || outcome === RunOutcome.Failed }
@@ -167,7 +172,9 @@
 }
 
 function gangKeyOf (job: StepJob, { step }: RunKey, gang: Gang): GangKey {
-  return { job: job.identifier, step, gang: job.gangs[step]?.indexOf(gang) ?? -1 }
+  const gangs = job.gangs[step] ?? []
+  const expected = Math.floor(gang.first / gang.size)
+  return { job: job.identifier, step, gang: gangs[expected] === gang ? expected : gangs.indexOf(gang) }
 }
 
 /**
@@ -179,7 +186,9 @@
  */
 export function replaceGang (job: StepJob, key: GangKey, gang: Gang): StepJob {
   const { step, gang: position } = key
-  return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? gangs.map((other, index) => index === position ? gang : other) : gangs) }
+  const replaced = job.gangs[step]?.slice() ?? []
+  if (position >= 0 && position < replaced.length) replaced[position] = gang
+  return { ...job, gangs: job.gangs.map((gangs, number) => number === step ? replaced : gangs) }
 }
 
 function recordStart (draft: Draft, job: StepJob, { step }: GangKey, attempt: number, workers: readonly string[]): void {
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -3,16 +3,17 @@
 import { CrashIsolation } from './crash-isolation'
 import { isEvacuated } from './evacuations'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
-import { addResources, StopReason, type WorkerIncarnation, type StepState } from './model'
+import { addResources, StopReason, type StepJob, type StepSpecification, type WorkerIncarnation, type StepState } from './model'
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
 import type { RunKey } from './run'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { planPreemption, releaseStopping, victimsFor, type PreemptionPlan } from './preemption'
-import { findRunsToStop, type RunProgress } from './runs-to-stop'
 import { Reservations } from './reservations'
 import { PacePreference } from './pace-preference'
+import { findRunsToStop } from './runs-to-stop'
+import type { LearnedRunTimes, RunProgress } from './stall'
 import { stepPolicy, type StepPolicy } from './policy'
 
 export type { RunProgress }
@@ -27,6 +28,10 @@
   readonly aliveAt?: ReadonlyMap<string, number>
   /** Learned pace by incarnation, 1 for a typical worker; absent where it is not known. */
   readonly paces?: ReadonlyMap<string, number>
+  /** Until when leaving workers stay at least, in milliseconds since the epoch, by incarnation; without those that do not state it. */
+  readonly leavesAt?: ReadonlyMap<string, number>
+  /** What the leader has learned of run times; absent where it has learned nothing. */
+  readonly runTimes?: LearnedRunTimes
 }
 
 /** Time after which a guaranteed gang is spread over several racks; leaves half of the time allowed for a reclaim. */
@@ -68,6 +73,8 @@
   private readonly pace: PacePreference
   /** Absent while no gang has reserved. */
   private reservations?: Reservations
+  /** The last placement class, as the gangs of a step follow one another. */
+  private lastClass?: { readonly job: StepJob, readonly step: StepSpecification, readonly name: string, readonly placementClass: string }
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -214,6 +221,16 @@
    * class cannot be placed, the rest of its class is skipped.
    */
   private placementClass (waiting: WaitingGang): string {
+    const { job, step, gang } = waiting
+    const name = `${isCrashSuspect(gang)} ${gang.size}`
+    const { lastClass } = this
+    if (lastClass?.job === job && lastClass.step === step && lastClass.name === name) return lastClass.placementClass
+    const placementClass = this.newPlacementClass(waiting)
+    this.lastClass = { job, step, name, placementClass }
+    return placementClass
+  }
+
+  private newPlacementClass (waiting: WaitingGang): string {
     const { key, gang, queue, step, requirements, guaranteed } = waiting
     const scope = [isCrashSuspect(gang), queue.service, queue.priority, guaranteed, step.label, step.dataRack, prefersOneRack(step), this.maySpanRacks(waiting), this.mayStopLowerWork(waiting), this.pace.needsUsualPace(waiting, this.view.now), this.reservations?.mayBackfill(waiting)]
     const ownStep = step.mostPerWorker > 0 || queue.priority === 0 ? `${key.job}.${key.step}` : ''
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -2,6 +2,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument } from './document'
 import { initialStepState, type DataCentreEvacuation, type EvacuationState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
+import type { RevocableStart } from './revocable-starts'
 import { runName, type RunKey } from './run'
 
 /** An incarnation with its runs as a list. */
@@ -19,6 +20,8 @@
   readonly losses?: readonly IncarnationLoss[]
   /** Absent until the first evacuation. */
   readonly evacuations?: StoredEvacuations
+  /** By worker; absent for none. */
+  readonly revocableStarts?: ReadonlyArray<readonly [string, readonly RevocableStart[]]>
 }
 
 /** The state of evacuations with the data centres as a list. */
@@ -32,14 +35,15 @@
  * @returns the stored form
  */
 export function toStoredSteps (state: StepState): StoredStepState {
-  const { document, jobs, open, incarnations, losses, evacuations } = state
+  const { document, jobs, open, incarnations, losses, evacuations, revocableStarts } = state
   return {
     document,
     jobs: valuesByKey(jobs),
     open: open.toArray().sort(),
     lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) })),
     ...losses.length > 0 && { losses },
-    ...evacuations !== undefined && { evacuations: { ...evacuations, dataCentres: valuesByKey(evacuations.dataCentres) } }
+    ...evacuations !== undefined && { evacuations: { ...evacuations, dataCentres: valuesByKey(evacuations.dataCentres) } },
+    ...revocableStarts !== undefined && { revocableStarts: [...revocableStarts.entries()].sort(([one], [other]) => one < other ? -1 : 1) }
   }
 }
 
@@ -56,7 +60,8 @@
     open: ImmutableSet(stored.open),
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
     losses: stored.losses ?? [],
-    ...stored.evacuations !== undefined && { evacuations: fromStoredEvacuations(stored.evacuations) }
+    ...stored.evacuations !== undefined && { evacuations: fromStoredEvacuations(stored.evacuations) },
+    ...stored.revocableStarts !== undefined && { revocableStarts: ImmutableMap(stored.revocableStarts) }
   }
 }
 
--- a/test/supervision-scenarios.test.ts
+++ b/test/supervision-scenarios.test.ts
@@ -38,6 +38,14 @@
   expect(simulation.report).toBe('')
 })
 
+test('a task of 300 s is started once, although one percent of it takes seconds', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 300_000 })
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed, 310_000)
+  expect(simulation.platform.starts).toBe(1)
+  expect(simulation.report).toBe('')
+}, 60_000)
+
 test('an agent that restarted does not take an unhealthy worker\'s refusal as proof that a run of its predecessor never started', async () => {
   const simulation = await Simulation.create()
   const site = simulation.site('a')
@@ -141,8 +149,7 @@
   expect(simulation.report).toBe('')
 })
 
-// Known to fail (KNOWN-RED.txt): nobody remembers the start. Fails the run once the fault is fixed.
-test.fails('a late start of an agent that ended, whose run has ended since, does not run again after the worker restarted under its name', async () => {
+test('a late start of an agent that ended, whose run has ended since, does not run again after the worker restarted under its name', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
   nextStarts(site, [{ after: 5_000, unanswered: true }])
@@ -156,6 +163,52 @@
   expect(simulation.report).toBe('')
 })
 
+test('a late start is revoked at each further incarnation, also by the next leader, and no longer after a minute', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  nextStarts(site, [{ after: 20_000, unanswered: true }])
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 500 })
+  await simulation.until('the job ends', () => simulation.state.steps.jobs.get('x')?.state === StepJobState.Completed)
+  const stops: string[] = []
+  site.fate = ({ kind, key }) => { if (kind === 'stop' && key !== undefined) stops.push(key.job); return normalFate }
+  for (const leader of [1, 2]) {
+    site.killAgent()
+    restartWorker(site)
+    simulation.changeLeader(leader)
+    site.startAgent()
+    const before = stops.length
+    await simulation.until('the start is revoked and the worker registered', () => stops.length > before && simulation.state.steps.incarnations.size === 1)
+    await simulation.run(3_000)
+  }
+  await simulation.run(20_000)
+  expect(simulation.report).toBe('')
+  await simulation.run(45_000)
+  stops.length = 0
+  site.killAgent()
+  restartWorker(site)
+  site.startAgent()
+  await simulation.until('the worker is registered', () => simulation.state.steps.incarnations.size === 1)
+  await simulation.run(2_000)
+  expect(stops).toEqual([])
+})
+
+test('a worker with many late starts is registered only once all of them are revoked, although they are settled one by one', async () => {
+  const simulation = await Simulation.create({ sites: ['a'] })
+  const site = simulation.site('a')
+  for (let number = 0; number < 8; number++) simulation.submitJob(`j${number}`, { ...wholeWorker, accelerators: 1, milliseconds: 300 })
+  await simulation.until('the jobs end', () => simulation.state.steps.open.size === 0)
+  site.killAgent()
+  restartWorker(site)
+  let stops = 0
+  site.fate = ({ kind }) => { stops += Number(kind === 'stop'); return kind === 'stop' ? { after: 30 * stops } : normalFate }
+  site.startAgent()
+  await simulation.until('the earlier incarnation is replaced', () => [...simulation.state.steps.incarnations.keys()].every((incarnation) => incarnation === site.machine.incarnation))
+  expect(stops).toBe(8)
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 300 })
+  await simulation.until('the next job ends', () => simulation.state.steps.open.size === 0)
+  expect(simulation.report).toBe('')
+})
+
 test('a start for an incarnation whose worker restarted under its name unnoticed does not overload it', async () => {
   const simulation = await Simulation.create({ sites: ['a'] })
   const site = simulation.site('a')
@@ -240,6 +293,23 @@
   expect(simulation.report).toBe('')
 })
 
+test('a worker that is lost for good while its agent keeps running is recorded as lost, and its job runs elsewhere', async () => {
+  const simulation = await Simulation.create()
+  simulation.submitJob('x', { ...wholeWorker, milliseconds: 3_000 })
+  await simulation.until('the run starts', () => running(simulation, 'a', 'x.0.0.1'))
+  simulation.site('a').machine.crash()
+  await simulation.run(4_500)
+  simulation.submitJob('y', { ...wholeWorker, milliseconds: 500 })
+  await simulation.until('both jobs end', () => simulation.state.steps.open.size === 0, 15_000)
+  expect(simulation.state.steps.jobs.get('y')?.gangs[0]?.[0]?.attempts).toBe(1)
+  for (const leader of [1, 2]) {
+    simulation.changeLeader(leader)
+    await simulation.run(20_000)
+    expect([...simulation.state.steps.incarnations.values()].map(({ host }) => host)).toEqual(['host-b'])
+  }
+  expect(simulation.report).toBe('')
+})
+
 test('an incarnation that is announced again after its lease has expired is not overloaded by what still ends there', async () => {
   const simulation = await Simulation.create({ sites: ['a'], times: { stop: 900, lapse: 900 } })
   const site = simulation.site('a')
