Bound the work that waits, and refuse at once what can never run

Cause: every valid step job was accepted: 3,000 jobs of one account, each a whole worker, within seconds by a system with two workers; and a job with a label that no worker has, or a gang larger than the fleet, waited forever.

Change: the waiting jobs, tasks and bytes of an account in a queue, and of all accounts together, are limited. They are counted in an index that each change of a job updates. The leader checks before it proposes a job; the entry carries the leader's limits and the log checks them again. Retry-After follows from the rate at which the account's work in the queue drains; a caller that returns in its slot is admitted before newcomers, with at most half of the limit kept for such callers. What no worker, or no empty fleet, could hold is refused once the fleet has been stable for 60 s. A refusal is given only after a quorum has confirmed the leader; accepted jobs are acknowledged before any limit is looked at. Log line submission-refused, share in gang-waits, metrics. The retry times of queues are in one module.

--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -12,8 +12,6 @@
 
 /** What the Control service needs of its control host. */
 export interface CallContext extends QueueContext {
-  /** The state with all proposed entries applied. */
-  readonly head: () => State
   readonly attach: (call: AgentCall) => void
   readonly follow: (call: ConfigurationCall) => void
   readonly supervise: (call: SupervisorCall) => void
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,7 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  AccountStarts, decide, decodeState, EffectKind, encodeStateInChunks, guaranteeStatus, notRunRefusal, RefusalCode, StepTransactionKind, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction
+  AccountStarts, AdmissionControl, decide, decodeState, EffectKind, encodeStateInChunks, guaranteeStatus, notRunRefusal, RefusalCode, StepTransactionKind, TransactionKind, Verdict, waitingLimitsFor, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction, type WaitingLimits
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, notLeaderMessage, type AgentCall } from './agents'
@@ -44,6 +44,8 @@
   readonly workerStopMilliseconds?: number
   /** Maximum size of the audit record; the oldest segments beyond it are removed. */
   readonly maxRecordBytes?: number
+  /** Limits of waiting step jobs; by default those for hosts with enough memory. */
+  readonly waitingLimits?: WaitingLimits
   /** Called when the data folder fails: the host can no longer guarantee durability, and the process should exit. */
   readonly onFailure?: (message: string) => void
   readonly log: (event: string, fields: object) => void
@@ -61,7 +63,7 @@
 const MAX_SNAPSHOT_SLICE_MILLISECONDS = 5
 /** Interval of log entries that save checkpoints, in milliseconds: the work lost when all workers and the leader are lost at once. */
 const CHECKPOINT_INTERVAL_MILLISECONDS = 1_000
-/** Interval at which reasons for waiting are logged, in milliseconds. */
+/** Interval at which reasons for waiting are logged and the rate of waiting work is measured, in milliseconds. */
 const WAITING_LOG_INTERVAL_MILLISECONDS = 1_000
 /** Interval of log entries that count refusals, in milliseconds. */
 const REFUSALS_INTERVAL_MILLISECONDS = 1_000
@@ -109,6 +111,7 @@
   private readonly clock = LeaderClock.create()
   private readonly waiters = JobWaiters.create()
   private readonly accountStarts = AccountStarts.create()
+  private readonly admission: AdmissionControl
   private readonly metrics = ControlMetrics.create({
     leads: () => Number(this.machine.leads),
     term: () => this.term,
@@ -119,6 +122,7 @@
     presentWorkers: () => this.machine.committed.workers.count((worker) => worker.present),
     brokenGuarantees: () => guaranteeStatus(this.machine.committed).reduce((sum, { missing }) => sum + missing, 0),
     openStepJobs: () => this.machine.committed.steps.open.size,
+    waitingStepTasks: () => this.machine.committed.steps.waitingWork.reduce((sum, { tasks }) => sum + tasks, 0),
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
@@ -132,6 +136,7 @@
   private stopping = false
 
   private constructor (private readonly options: ControlOptions, private readonly record: RecordStore) {
+    this.admission = AdmissionControl.create(options.waitingLimits ?? waitingLimitsFor(undefined))
     this.machine = Machine.create({
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
@@ -207,7 +212,7 @@
       setInterval(() => { this.followers.push([]) }, CONFIRM_INTERVAL_MILLISECONDS),
       setInterval(() => { this.flushRefusals() }, REFUSALS_INTERVAL_MILLISECONDS),
       setInterval(() => { this.saveCheckpoints() }, CHECKPOINT_INTERVAL_MILLISECONDS),
-      setInterval(() => { if (this.machine.leads) this.decisionLog.logWaiting(this.machine.head, this.supervisors.fleetView()) }, WAITING_LOG_INTERVAL_MILLISECONDS),
+      setInterval(() => { if (this.machine.leads) this.observeWaiting() }, WAITING_LOG_INTERVAL_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_INTERVAL_MILLISECONDS)
     ]
   }
@@ -271,6 +276,7 @@
     this.agents.beginLeading(this.clock.now())
     this.supervisors.beginLeading()
     this.accountStarts.clear()
+    this.admission.beginLeading(this.clock.now())
   }
 
   private decide (head: State): readonly Transaction[] {
@@ -305,6 +311,12 @@
     this.machine.wake()
   }
 
+  private observeWaiting (): void {
+    const { head } = this.machine
+    this.decisionLog.logWaiting(head, this.supervisors.fleetView())
+    this.admission.observe(head.steps, this.clock.now())
+  }
+
   private saveCheckpoints (): void {
     const unsaved = this.machine.leads ? this.supervisors.unsavedCheckpoints() : undefined
     if (unsaved !== undefined) this.submit(unsaved)
@@ -362,6 +374,8 @@
       head: () => this.machine.head,
       submit: (transaction) => this.machine.submit(transaction),
       confirm: () => this.confirm(),
+      admission: this.admission,
+      countSubmissionRefusal: (reason) => { this.metrics.countSubmissionRefusal(reason) },
       now: () => this.clock.now(),
       log: this.options.log,
       supervise: (call) => { this.supervise(call) },
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -12,6 +12,7 @@
   readonly presentWorkers: () => number
   readonly brokenGuarantees: () => number
   readonly openStepJobs: () => number
+  readonly waitingStepTasks: () => number
   readonly supervisedWorkers: () => number
   readonly silentWorkers: () => number
   readonly unassignedRuns: () => number
@@ -32,6 +33,7 @@
   presentWorkers: 'Workers whose lease holds',
   brokenGuarantees: 'Guaranteed shapes that have no home',
   openStepJobs: 'Jobs of steps that have not ended or still hold something',
+  waitingStepTasks: 'Tasks of jobs of steps that wait',
   supervisedWorkers: 'Incarnations of workers that run tasks of jobs of steps',
   silentWorkers: 'Those of them that were not heard of in time',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
@@ -61,6 +63,10 @@
     name: 'bramleyflow_control_crash_suspects_total', help: 'Gangs that may have crashed a worker, by evidence', labelNames: ['evidence'], registers: [this.registry]
   })
 
+  private readonly submissionsRefused = new Counter({
+    name: 'bramleyflow_control_submissions_refused_total', help: 'Jobs of steps that were not accepted, by reason', labelNames: ['reason'], registers: [this.registry]
+  })
+
   private readonly firstStarts = new Histogram({
     name: 'bramleyflow_control_first_start_seconds', help: 'Time from acceptance to the first start of a gang', labelNames: ['priority'], buckets: FIRST_START_BUCKETS_SECONDS, registers: [this.registry]
   })
@@ -108,6 +114,11 @@
     this.crashSuspects.inc({ evidence })
   }
 
+  /** Counts a job of steps that was not accepted. */
+  countSubmissionRefusal (reason: string): void {
+    this.submissionsRefused.inc({ reason })
+  }
+
   /** Counts a start of leadership. */
   countLeadership (): void {
     this.termsLed.inc()
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,8 +1,8 @@
 /** The leader's handlers of requests to queues and of the numbered queue document. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
-  type Refusal, type Route, type State, type StepJob, type StepSpecification, type Transaction
+  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, LEADER_RETRY_MILLISECONDS, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
+  type AdmissionControl, type Refusal, type Route, type State, type StepJob, type StepSpecification, type Submission, type SubmissionRefusal, type SubmitSteps, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
 import { toWireRefusal } from './convert'
@@ -13,6 +13,11 @@
   readonly leads: () => boolean
   readonly leader: () => string
   readonly committed: () => State
+  /** The state with all proposed entries applied. */
+  readonly head: () => State
+  readonly admission: AdmissionControl
+  /** Counts a job that was not accepted, by reason. */
+  readonly countSubmissionRefusal: (reason: string) => void
   readonly submit: (transaction: Transaction) => Promise<Result<void, Refusal>>
   /** Confirms leadership with a quorum; false where no quorum confirms it. */
   readonly confirm: () => Promise<boolean>
@@ -22,9 +27,6 @@
 type QueueResult = Result<Partial<wire.QueueReply>, Refusal>
 type Handler = (context: QueueContext, route: Route, request: wire.QueueRequest) => Promise<QueueResult>
 
-/** Time after which a caller may try again while leadership moves, in milliseconds. */
-const LEADER_RETRY_AFTER_MILLISECONDS = 200
-
 /** Limit of the steps of an accepted job that its log line describes. */
 const MAX_LOGGED_STEPS = 4
 
@@ -72,11 +74,48 @@
   if (!JOB_IDENTIFIER.test(jobIdentifier)) return err(notRunRefusal(RefusalCode.BadRequest, 'the job identifier in the path is not valid'))
   const checked = checkStepJob(JSON.parse(jobJson))
   if (checked.isErr()) return err(notRunRefusal(RefusalCode.BadRequest, 'the job is not valid', 0, checked.error))
-  const outcome = await context.submit({
-    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier: jobIdentifier, account, queue: queue.name, specification: checked.value
+  const submission = { identifier: jobIdentifier, account, queue, specification: checked.value }
+  const refused = await confirmedRefusal(context, submission)
+  if (refused !== undefined) return err(refused)
+  const isNew = !context.head().steps.jobs.has(jobIdentifier)
+  const outcome = await propose(context, submission)
+  if (outcome.isErr()) return err(outcome.error)
+  if (isNew) context.admission.recordAcceptance(submission)
+  logAcceptance(context, jobIdentifier)
+  return ok({ state: stateOf(context, jobIdentifier) })
+}
+
+/** Proposes a job; once more where other submissions took the room first, but there is room again or the job was accepted meanwhile. */
+async function propose (context: QueueContext, submission: Submission): Promise<Result<void, Refusal>> {
+  const { identifier, account, queue, specification } = submission
+  const transaction = (): SubmitSteps => ({
+    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier, account, queue: queue.name, specification, limits: context.admission.limits
   })
-  if (outcome.isOk()) logAcceptance(context, jobIdentifier)
-  return outcome.map(() => ({ state: stateOf(context, jobIdentifier) }))
+  const outcome = await context.submit(transaction())
+  if (outcome.isOk() || outcome.error.code !== RefusalCode.QueueFull) return outcome
+  const refused = await confirmedRefusal(context, submission)
+  if (refused !== undefined) return err(refused)
+  const second = await context.submit(transaction())
+  if (second.isOk() || second.error.code !== RefusalCode.QueueFull) return second
+  return await context.confirm() ? second : err(notLeaderRefusal)
+}
+
+/**
+ * Returns why a job is not accepted. A quorum confirms leadership first: only then does the head have every entry that can be
+ * in the log, so that "not run" is true.
+ */
+async function confirmedRefusal (context: QueueContext, submission: Submission): Promise<Refusal | undefined> {
+  const { admission, head, now } = context
+  if (admission.refusalOf(head().steps, submission, now()) === undefined) return undefined
+  if (!await context.confirm()) return notLeaderRefusal
+  const refused = admission.refusalOf(head().steps, submission, now())
+  if (refused !== undefined) recordRefusal(context, submission, refused)
+  return refused?.refusal
+}
+
+function recordRefusal (context: QueueContext, { identifier, account, queue }: Submission, { reason, inputs }: SubmissionRefusal): void {
+  context.countSubmissionRefusal(reason)
+  context.log('submission-refused', { job: identifier, account, queue: queue.name, reason, ...inputs, document: context.head().steps.document?.number })
 }
 
 function logAcceptance (context: QueueContext, identifier: string): void {
@@ -131,7 +170,7 @@
   return notRunRefusal(RefusalCode.NotFound, `no job ${identifier}: it was never accepted, or its retention is over`)
 }
 
-const notLeaderRefusal = notRunRefusal(RefusalCode.NotLeader, 'this control host does not lead', LEADER_RETRY_AFTER_MILLISECONDS)
+const notLeaderRefusal = notRunRefusal(RefusalCode.NotLeader, 'this control host does not lead', LEADER_RETRY_MILLISECONDS)
 
 /**
  * Submits a numbered queue document; of all that were accepted, the one with the highest number is in force.
@@ -163,7 +202,7 @@
 export async function readDocument (context: QueueContext): Promise<wire.DocumentReply> {
   if (!context.leads() || !await context.confirm()) return documentRefusal(context, notLeaderRefusal)
   const { document } = context.committed().steps
-  if (document === undefined) return documentRefusal(context, notRunRefusal(RefusalCode.Unavailable, 'no document is in force yet', LEADER_RETRY_AFTER_MILLISECONDS))
+  if (document === undefined) return documentRefusal(context, notRunRefusal(RefusalCode.Unavailable, 'no document is in force yet', LEADER_RETRY_MILLISECONDS))
   return wire.DocumentReply.fromPartial({ number: document.number, source: document.source })
 }
 
--- /dev/null
+++ b/src/core/steps/admission/index.ts
@@ -0,0 +1,5 @@
+export { AdmissionControl, limitRefusal, sharingAccounts, type Submission, type SubmissionRefusal } from './admission'
+export { KnownFleet, Impossibility } from './feasibility'
+export { defaultWaitingLimits, findExceededLimit, waitingLimitsFor, type WaitingLimits } from './waiting-limits'
+export { LEADER_RETRY_MILLISECONDS } from './retry-times'
+export { addWork, noWork, submittedSize, updateWaitingWork, waitingKey, type WaitingWork, type WaitingWorkIndex, type WorkSize } from './waiting-work'
--- a/src/core/steps/fair-order.ts
+++ b/src/core/steps/fair-order.ts
@@ -18,6 +18,9 @@
   readonly isDueNow: (waiting: WaitingGang) => boolean
 }
 
+/** Limit of the gangs of an account without runs that are tried before their turn. If none of them fits, the others have their usual place. */
+const MAX_IDLE_TRIES = 20
+
 /** What the order depends on beyond the gangs and the shares. */
 export interface OrderView {
   /** Milliseconds since the epoch. */
@@ -118,7 +121,7 @@
   private * ofIdleAccounts (byAccount: ReadonlyMap<string, readonly WaitingGang[]>): Generator<WaitingGang> {
     const idle = [...byAccount].filter(([account]) => this.shares.isIdle(account)).map(([, gangs]) => gangs)
     for (const gangs of idle.sort(([one], [other]) => this.compareStarts(StartKind.All, one!, other!) || compare(one!, other!))) {
-      for (const waiting of gangs) {
+      for (const waiting of gangs.slice(0, MAX_IDLE_TRIES)) {
         if (!this.shares.isIdle(waiting.job.account)) break
         yield * this.tryNow(waiting)
       }
@@ -142,17 +145,16 @@
   private * bySmallestShare (gangs: readonly WaitingGang[]): Generator<WaitingGang> {
     const byAccount = new Map<string, WaitingGang[]>()
     for (const waiting of gangs) if (!this.tried.has(waiting)) listOf(byAccount, waiting.job.account).push(waiting)
-    const heap = AccountHeap.create()
-    for (const [account, list] of byAccount) heap.push({ share: this.shares.weightedShare(account), gangs: list, next: 0 })
-    for (let entry = heap.pop(); entry !== undefined; entry = heap.pop()) {
+    const heap = AccountHeap.create([...byAccount].map(([account, list]) => ({ share: this.shares.weightedShare(account), gangs: list, next: 0 })))
+    for (let entry = heap.first; entry !== undefined; entry = heap.first) {
       const waiting = entry.gangs[entry.next]
-      if (waiting === undefined) continue
+      if (waiting === undefined) { heap.removeFirst(); continue }
       const share = this.shares.weightedShare(waiting.job.account)
       if (share === entry.share) {
         entry.next += 1
         yield waiting
-      }
-      heap.push({ ...entry, share: this.shares.weightedShare(waiting.job.account) })
+      } else entry.share = share
+      heap.sinkFirst()
     }
   }
 }
@@ -167,8 +169,8 @@
 
 /** The gangs of one account in one class. */
 interface AccountEntry {
-  /** Weighted share when the entry was pushed. */
-  readonly share: number
+  /** Weighted share when the entry was last moved. */
+  share: number
   readonly gangs: readonly WaitingGang[]
   /** Position of the next gang to try. */
   next: number
@@ -176,52 +178,38 @@
 
 /** A binary heap of accounts, smallest share first; among equal shares, the account whose next gang comes first without regard to accounts. */
 class AccountHeap {
-  private readonly entries: AccountEntry[] = []
+  private constructor (private readonly entries: AccountEntry[]) {}
 
-  private constructor () {}
-
-  static create (): AccountHeap {
-    return new AccountHeap()
+  static create (entries: AccountEntry[]): AccountHeap {
+    return new AccountHeap(entries.sort(compareEntries))
   }
 
-  push (entry: AccountEntry): void {
-    let position = this.entries.push(entry) - 1
-    while (position > 0) {
-      const parent = (position - 1) >> 1
-      if (!this.isBefore(position, parent)) return
-      this.swap(position, parent)
-      position = parent
-    }
+  get first (): AccountEntry | undefined {
+    return this.entries[0]
   }
 
-  pop (): AccountEntry | undefined {
-    const first = this.entries[0]
+  removeFirst (): void {
     const last = this.entries.pop()
-    if (last === undefined || this.entries.length === 0) return first
+    if (last === undefined || this.entries.length === 0) return
     this.entries[0] = last
-    this.sink()
-    return first
+    this.sinkFirst()
   }
 
-  private sink (): void {
+  /** Restores the order after the first entry has changed. */
+  sinkFirst (): void {
     for (let position = 0; ;) {
       let first = position
-      for (const child of [2 * position + 1, 2 * position + 2]) if (child < this.entries.length && this.isBefore(child, first)) first = child
+      for (const child of [2 * position + 1, 2 * position + 2]) if (child < this.entries.length && compareEntries(this.entries[child]!, this.entries[first]!) < 0) first = child
       if (first === position) return
-      this.swap(position, first)
+      [this.entries[position], this.entries[first]] = [this.entries[first]!, this.entries[position]!]
       position = first
     }
   }
+}
 
-  private isBefore (one: number, other: number): boolean {
-    const [first, second] = [this.entries[one]!, this.entries[other]!]
-    if (first.share !== second.share) return first.share < second.share
-    const [gang, otherGang] = [first.gangs[first.next], second.gangs[second.next]]
-    if (gang === undefined || otherGang === undefined) return gang === undefined && otherGang !== undefined
-    return compare(gang, otherGang) < 0
-  }
-
-  private swap (one: number, other: number): void {
-    [this.entries[one], this.entries[other]] = [this.entries[other]!, this.entries[one]!]
-  }
+/** An entry without further gangs comes first, to be removed. */
+function compareEntries (one: AccountEntry, other: AccountEntry): number {
+  const [gang, otherGang] = [one.gangs[one.next], other.gangs[other.next]]
+  if (gang === undefined || otherGang === undefined) return Number(gang !== undefined) - Number(otherGang !== undefined)
+  return one.share - other.share || compare(gang, otherGang)
 }
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -1,4 +1,5 @@
 export { assessCrash, CrashEvidence, noSuspects, type CrashAssessment, type CrashSuspect, type SignsOfLife, type WorkerCrash } from './crash-evidence'
+export * from './admission/index'
 export * from './model'
 export * from './resources'
 export * from './run'
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -4,6 +4,10 @@
 import { EffectKind } from '../effect'
 import type { AcceleratorGuarantee } from '../record'
 import { notRunRefusal, RefusalCode, Verdict, type Refusal } from '../verdict'
+import { limitRefusal, sharingAccounts } from './admission/admission'
+import { MIN_TURN_AWAY_MILLISECONDS } from './admission/retry-times'
+import { findExceededLimit } from './admission/waiting-limits'
+import { submittedSize, updateWaitingWork } from './admission/waiting-work'
 import { checkQueueDocument, type Queue, type QueueAccount, type QueueDocument } from './document'
 import { StepJobState, stepJobEnded, type JobEndReason, StopReason, type Gang, type StepJob, type StepState } from './model'
 import { initialAccelerators, initialGangs } from './specification'
@@ -45,16 +49,20 @@
 }
 
 /**
- * Accepts a job. Submitting the same identifier again has no effect.
+ * Accepts a job. Submitting the same identifier again has no effect, whatever waits meanwhile. The limits of waiting work are
+ * those of the entry, so that every control host comes to the same result; a leader of an earlier version gives none.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing, or a refusal, which leaves the state unchanged
  */
 export function submitSteps (draft: Draft, transaction: SubmitSteps): Outcome {
-  const { identifier, account, queue, specification } = transaction
+  const { identifier, account, queue, specification, limits } = transaction
   if (draft.steps.jobs.has(identifier)) return ok(undefined)
   const found = draft.steps.document?.document.queues.find((candidate) => candidate.name === queue)
   if (found === undefined) return err(notRunRefusal(RefusalCode.UnknownQueue, `there is no queue ${queue}`))
+  const submitted = { account, queue, size: submittedSize(specification) }
+  const exceeded = limits === undefined ? undefined : findExceededLimit(draft.steps.waitingWork, submitted, limits, sharingAccounts(draft.steps))
+  if (exceeded !== undefined) return err(limitRefusal(exceeded, MIN_TURN_AWAY_MILLISECONDS))
   setStepJob(draft, {
     identifier,
     account,
@@ -116,17 +124,18 @@
 }
 
 /**
- * Inserts or replaces a job and updates the set of open jobs.
+ * Inserts or replaces a job and updates the set of open jobs and the index of waiting work.
  * @param draft - the draft being modified
  * @param job - the updated job
  */
 export function setStepJob (draft: Draft, job: StepJob): void {
-  const { jobs, open } = draft.steps
+  const { jobs, open, waitingWork } = draft.steps
   const isOpen = !stepJobEnded(job) || job.gangs.some((step) => step.some((gang) => gang.run !== undefined))
   draft.steps = {
     ...draft.steps,
     jobs: jobs.set(job.identifier, job),
-    open: isOpen ? open.add(job.identifier) : open.delete(job.identifier)
+    open: isOpen ? open.add(job.identifier) : open.delete(job.identifier),
+    waitingWork: updateWaitingWork(waitingWork, jobs.get(job.identifier), job)
   }
 }
 
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -2,6 +2,7 @@
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument, Queue } from './document'
 import type { CrashedTasks, WorkerCrash } from './crash-evidence'
+import type { WaitingWorkIndex } from './admission/waiting-work'
 import type { RunKey } from './run'
 
 /** Resources of a worker, or those that a task occupies on it. */
@@ -184,6 +185,8 @@
   /** Identifiers of the jobs that have not ended or still have runs. */
   readonly open: ImmutableSet<string>
   readonly incarnations: ImmutableMap<string, WorkerIncarnation>
+  /** Derived from the jobs. */
+  readonly waitingWork: WaitingWorkIndex
   /** Losses of the last while, oldest first. */
   readonly losses: readonly IncarnationLoss[]
 }
@@ -192,7 +195,7 @@
 export const noResources: Resources = { processors: 0, memoryMegabytes: 0, accelerators: 0 }
 
 /** The state before the first log entry. */
-export const initialStepState: StepState = { jobs: ImmutableMap(), open: ImmutableSet(), incarnations: ImmutableMap(), losses: [] }
+export const initialStepState: StepState = { jobs: ImmutableMap(), open: ImmutableSet(), incarnations: ImmutableMap(), waitingWork: ImmutableMap(), losses: [] }
 
 /**
  * Adds or subtracts resources.
--- a/src/core/steps/routing.ts
+++ b/src/core/steps/routing.ts
@@ -1,6 +1,7 @@
 /** Resolves the queue and the account of a request. */
 import { err, ok, type Result } from 'neverthrow'
 import { notRunRefusal, RefusalCode, type Refusal } from '../verdict'
+import { NO_DOCUMENT_RETRY_MILLISECONDS } from './admission/retry-times'
 import type { Queue, QueueDocument } from './document'
 import type { StepState } from './model'
 
@@ -32,9 +33,6 @@
   readonly jobIdentifier: string
 }
 
-/** Time after which a caller should retry while no document is in force. */
-const NO_DOCUMENT_RETRY_MILLISECONDS = 1_000
-
 /**
  * Resolves a request by host, path and key.
  * @param state - state of the step jobs, with the document in force
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -1,5 +1,6 @@
 /** The part of a snapshot that concerns step jobs. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
+import { updateWaitingWork, type WaitingWorkIndex } from './admission/waiting-work'
 import type { NumberedDocument } from './document'
 import { initialStepState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
 import { runName, type RunKey } from './run'
@@ -47,6 +48,7 @@
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
     open: ImmutableSet(stored.open),
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
+    waitingWork: stored.jobs.reduce<WaitingWorkIndex>((index, job) => updateWaitingWork(index, undefined, job), ImmutableMap()),
     losses: stored.losses ?? []
   }
 }
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -1,4 +1,5 @@
 import type { TransactionBase } from '../transaction'
+import type { WaitingLimits } from './admission/waiting-limits'
 import type { CrashedGang, CrashSuspect } from './crash-evidence'
 import type { IncarnationDescription, IncarnationLossCause, Resources, StepJobSpecification, StopReason } from './model'
 import type { RunKey, RunOutcome } from './run'
@@ -34,6 +35,8 @@
   readonly account: string
   readonly queue: string
   readonly specification: StepJobSpecification
+  /** Limits of waiting work that the leader applied; absent in entries from before there were limits. */
+  readonly limits?: WaitingLimits
 }
 
 /** Cancels a job. */
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -1,4 +1,5 @@
 /** Explains why gangs wait, for the log. Has no influence on scheduling. */
+import { AccountShares } from './account-shares'
 import { isCrashSuspect } from './crash-evidence'
 import { hasLabel, eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import type { WorkerIncarnation, StepState } from './model'
@@ -32,6 +33,8 @@
   readonly priority: number
   readonly acceptedAt: number
   readonly reason: WaitingReason
+  /** Dominant share of the account, by which accounts take turns. */
+  readonly share: number
 }
 
 /**
@@ -42,11 +45,12 @@
  */
 export function explainWaiting (state: StepState, view: PlacementConstraints & { readonly now: number }): ExplainedGang[] {
   const capacity = FreeCapacity.measure(state.incarnations.values())
+  const shares = AccountShares.measure(state)
   const explained = new Map<string, ExplainedGang>()
   for (const waiting of waitingGangs(state, guaranteedJobs(state), view.now)) {
     const { key, job: { account, acceptedAt }, queue: { priority } } = waiting
     const step = `${key.job}.${key.step}`
-    if (!explained.has(step)) explained.set(step, { key, account, priority, acceptedAt, reason: reasonOf(state, waiting, view, capacity) })
+    if (!explained.has(step)) explained.set(step, { key, account, priority, acceptedAt, reason: reasonOf(state, waiting, view, capacity), share: shares.dominantShare(account) })
   }
   return [...explained.values()]
 }
