Do not call a submission not run while an earlier copy of it may arrive

Cause: after a try without an answer, a second try that is refused because a limit is reached was reported as not run, although the first try may still be delivered and find room.

Change: such a refusal is reported as may-have-run; the caller resends under the same identifier.

--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -4,7 +4,7 @@
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
-import type { Refusal } from '../core/verdict'
+import { RefusalCode, type Refusal } from '../core/verdict'
 import { ControlService, Verdict } from '../wire/index'
 import { retryAfterOutage } from './outage-retry'
 import { BrokenCall, CallKind, jittered, noLeaderRefusal, notLeaderRefusal, sleep, type LeaderClient, type Refusable } from './leader-client'
@@ -75,7 +75,7 @@
         if (refusal === undefined) {
           this.leaderMissingSince = undefined
           this.leader.noteReply(address)
-          return ok(reply)
+          return ok(sent ? withPossibleRun(reply) : reply)
         }
         sent ||= kind !== CallKind.Read && refusal.verdict !== Verdict.NOT_RUN
         this.leader.noteLeader(refusal.leader, address)
@@ -123,6 +123,16 @@
   }
 }
 
+/** Refusals that depend on the moment: an earlier copy of the request may still be accepted when it arrives. */
+const momentaryRefusals: ReadonlySet<string> = new Set([RefusalCode.QueueFull, RefusalCode.ImpossibleShape])
+
+/** Weakens the verdict of a refusal after an earlier try whose outcome is unknown. */
+function withPossibleRun<Reply extends Refusable> (reply: Reply): Reply {
+  const { refusal } = reply
+  if (refusal === undefined || !momentaryRefusals.has(refusal.code)) return reply
+  return { ...reply, refusal: { ...refusal, verdict: Verdict.MAY_HAVE_RUN } }
+}
+
 /** Resolves to the value of a promise, or to undefined after a timeout. */
 async function withTimeout<Value> (milliseconds: number, outcome: Promise<Value | undefined>): Promise<Value | undefined> {
   let timer: NodeJS.Timeout | undefined
--- a/test/queue-client.test.ts
+++ b/test/queue-client.test.ts
@@ -55,6 +55,18 @@
   expect(answer._unsafeUnwrap()).toEqual({ state: 'queued', pending: 0 })
 })
 
+test('a submission is not refused as not-run for a limit while an earlier copy of it may still arrive', async () => {
+  let tries = 0
+  const full = { ...refusal, code: 'queue-full', retryAfterMilliseconds: 2_000 }
+  const leader = await startHost((_call, callback) => { callback(null, ConfirmReply.fromPartial({})) }, (_call, callback) => {
+    tries += 1
+    if (tries > 1) callback(null, QueueReply.fromPartial({ refusal: full }))
+  })
+  expect((await clientOf([leader]).callByAddress(call))._unsafeUnwrapErr()).toMatchObject({ code: 'queue-full', verdict: Verdict.MayHaveRun, retryAfter: 2_000 })
+  const second = await clientOf([leader]).callByAddress(call)
+  expect(second._unsafeUnwrapErr()).toMatchObject({ code: 'queue-full', verdict: Verdict.NotRun })
+})
+
 test('a request that may have arrived is not refused as not-run', async () => {
   const leader = await startHost((_call, callback) => { callback(null, ConfirmReply.fromPartial({})) }, () => {})
   const answer = await clientOf([leader]).callByAddress({ ...call, timeoutMilliseconds: 1_000 })
