--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8'
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
@@ -44,7 +45,7 @@
   readonly workerStopMilliseconds?: number
   /** Maximum size of the audit record; the oldest segments beyond it are removed. */
   readonly maxRecordBytes?: number
-  /** Limits of waiting step jobs; by default those for hosts with enough memory. */
+  /** Limits of waiting step jobs; derived from the limit of the heap by default. */
   readonly waitingLimits?: WaitingLimits
   /** Called when the data folder fails: the host can no longer guarantee durability, and the process should exit. */
   readonly onFailure?: (message: string) => void
@@ -53,6 +54,7 @@
 
 const DEFAULT_WORKER_LEASE_MILLISECONDS = 6_000
 const DEFAULT_WORKER_STOP_MILLISECONDS = 1_000
+const BYTES_PER_MEGABYTE = 1_048_576
 /** Interval of checks for expired leases and overdue reservations, in milliseconds. */
 const TICK_INTERVAL_MILLISECONDS = 50
 /** Interval of log entries that remove ended jobs past their retention, in milliseconds. */
@@ -136,7 +138,7 @@
   private stopping = false
 
   private constructor (private readonly options: ControlOptions, private readonly record: RecordStore) {
-    this.admission = AdmissionControl.create(options.waitingLimits ?? waitingLimitsFor(undefined))
+    this.admission = AdmissionControl.create(options.waitingLimits ?? waitingLimitsFor(getHeapStatistics().heap_size_limit / BYTES_PER_MEGABYTE))
     this.machine = Machine.create({
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
--- a/src/core/steps/admission/drain-rate.ts
+++ b/src/core/steps/admission/drain-rate.ts
@@ -39,7 +39,7 @@
       while (samples.length > 2 && (samples[1]?.at ?? now) <= now - WINDOW_MILLISECONDS) samples.shift()
       this.samples.set(key, samples)
     }
-    for (const key of this.samples.keys()) if (!index.has(key)) { this.samples.delete(key); this.admitted.delete(key) }
+    for (const key of [...this.samples.keys(), ...this.admitted.keys()]) if (!index.has(key)) { this.samples.delete(key); this.admitted.delete(key) }
   }
 
   /** Work that drains per second; zero where it is not known. */
--- a/src/core/steps/admission/waiting-limits.ts
+++ b/src/core/steps/admission/waiting-limits.ts
@@ -14,20 +14,20 @@
  * 10 ms for each thousand waiting tasks on a loaded machine, and waiting tasks take about 1 MB for each thousand.
  */
 export const defaultWaitingLimits: WaitingLimits = {
-  account: { jobs: 5_000, tasks: 10_000, bytes: 32 * 1_048_576 },
-  total: { jobs: 10_000, tasks: 30_000, bytes: 64 * 1_048_576 }
+  account: { jobs: 5_000, tasks: 10_000, bytes: 16 * 1_048_576 },
+  total: { jobs: 10_000, tasks: 30_000, bytes: 32 * 1_048_576 }
 }
 
-/** Memory of a control host from which on the default limits apply, in megabytes. */
-const FULL_LIMITS_MEGABYTES = 512
+/** Heap of a control host from which on the default limits apply, in megabytes: the full limits fill about a third of it. */
+const FULL_LIMITS_MEGABYTES = 200
 
 /**
  * Derives the limits from the memory of a control host. The time of a decision round bounds them where memory does not.
- * @param memoryMegabytes - memory that the process may use; undefined where no limit is known
- * @returns the default limits, in proportion to the memory where there is less of it
+ * @param heapMegabytes - limit of the heap of the process
+ * @returns the default limits, in proportion to the heap where it is smaller
  */
-export function waitingLimitsFor (memoryMegabytes: number | undefined): WaitingLimits {
-  const share = Math.min(1, (memoryMegabytes ?? FULL_LIMITS_MEGABYTES) / FULL_LIMITS_MEGABYTES)
+export function waitingLimitsFor (heapMegabytes: number): WaitingLimits {
+  const share = Math.min(1, heapMegabytes / FULL_LIMITS_MEGABYTES)
   const scaled = ({ jobs, tasks, bytes }: WorkSize): WorkSize => ({ jobs: Math.ceil(jobs * share), tasks: Math.ceil(tasks * share), bytes: Math.ceil(bytes * share) })
   return { account: scaled(defaultWaitingLimits.account), total: scaled(defaultWaitingLimits.total) }
 }
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -73,7 +73,7 @@
 test('the default limits leave room for a burst of a few thousand jobs, and less memory gives lower limits', () => {
   const burst = submittedSize({ payload: 'x'.repeat(4_000), steps: [step()] })
   expect(3_000 * burst.bytes).toBeLessThan(defaultWaitingLimits.account.bytes)
-  expect(waitingLimitsFor(256).account.jobs).toBe(defaultWaitingLimits.account.jobs / 2)
+  expect(waitingLimitsFor(100).account.jobs).toBe(defaultWaitingLimits.account.jobs / 2)
   expect(waitingLimitsFor(4_096)).toEqual(defaultWaitingLimits)
 })
 
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -1,3 +1,4 @@
+import { request } from 'undici'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { OrderFault } from '../stand-ins'
 import { operatorDocument, PlatformFixture } from './platform-fixture'
@@ -40,6 +41,19 @@
   expect(fixture.worker.observations.starts).toEqual([])
 })
 
+test('over the limit of waiting work a job gets 429 with a time to return, and an accepted job is acknowledged again', async () => {
+  const large = job('1', { count: 10_000, cpu: 100_000_000 })
+  expect((await fixture.call('POST', '00000000000000b2', large)).status).toBe(200)
+  const refused = await request(`http://${fixture.clientAddress}/proofs/00000000000000b3`, {
+    method: 'POST', body: JSON.stringify(job('1')), headers: { authorization: 'Token key-of-one', host: 'proofs.example', 'content-type': 'application/json' }
+  })
+  expect(refused.statusCode).toBe(429)
+  expect(Number(refused.headers['retry-after'])).toBeGreaterThanOrEqual(1)
+  expect(await refused.body.json()).toEqual({ error: 'the limit of 10000 waiting tasks of an account in a queue is reached' })
+  expect((await fixture.call('POST', '00000000000000b2', large)).status).toBe(200)
+  expect((await fixture.call('GET', '00000000000000b3')).status).toBe(410)
+})
+
 test('a job that fails is tried no more often than its queue allows', async () => {
   await fixture.call('POST', '00000000000000c1', job('fail'))
   await until(async () => await state('00000000000000c1') === 'failed')
--- a/test/queue-calls.test.ts
+++ b/test/queue-calls.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { err, ok } from 'neverthrow'
 import { handleQueueRequest, type QueueContext } from '../src/control/queue-calls'
-import { AdmissionControl, notRunRefusal, RefusalCode, waitingLimitsFor, type WaitingLimits } from '../src/core/index'
+import { AdmissionControl, defaultWaitingLimits, notRunRefusal, RefusalCode, type WaitingLimits } from '../src/core/index'
 import { QueueOperation, QueueReply, QueueRequest } from '../src/wire'
 import { step, StepWorld } from './steps-fixture'
 
@@ -39,7 +39,7 @@
   return { world, lines, counted, submit }
 }
 
-const oneJob: WaitingLimits = { ...waitingLimitsFor(undefined), account: { jobs: 1, tasks: 10, bytes: 10_000 } }
+const oneJob: WaitingLimits = { ...defaultWaitingLimits, account: { jobs: 1, tasks: 10, bytes: 10_000 } }
 
 test('a job over the limit is refused with a time to return, a log line and a count', async () => {
   const { lines, counted, submit } = leaderWith(oneJob)
