--- a/src/control/evacuation-calls.ts
+++ b/src/control/evacuation-calls.ts
@@ -7,13 +7,16 @@
 import { notLeaderRefusal, toWireRefusal } from './convert'
 import type { QueueContext } from './queue-calls'
 
+/** What the handlers need of their control host. */
+export type EvacuationContext = Pick<QueueContext, 'now' | 'leads' | 'leader' | 'committed' | 'submit' | 'confirm' | 'log'>
+
 /**
  * Lists the evacuated data centres.
  * @param context - the control host
  * @param request - the data centre whose change count is wanted
  * @returns the list and the count, confirmed by a quorum; or the refusal
  */
-export async function listEvacuations (context: QueueContext, request: wire.EvacuationQuery): Promise<wire.EvacuationList> {
+export async function listEvacuations (context: EvacuationContext, request: wire.EvacuationQuery): Promise<wire.EvacuationList> {
   if (!context.leads() || !await context.confirm()) return wire.EvacuationList.fromPartial({ refusal: notLeaderRefusal(context.leader()) })
   const { steps } = context.committed()
   const runs = evacuatedRuns(steps)
@@ -30,7 +33,7 @@
  * @param request - the order
  * @returns an empty reply once the order is committed, or the refusal
  */
-export async function changeEvacuation (context: QueueContext, request: wire.EvacuationRequest): Promise<wire.EvacuationReply> {
+export async function changeEvacuation (context: EvacuationContext, request: wire.EvacuationRequest): Promise<wire.EvacuationReply> {
   const { dataCentre, evacuate, changeCount, team } = request
   if (!context.leads()) return wire.EvacuationReply.fromPartial({ refusal: notLeaderRefusal(context.leader()) })
   const repeated = isEvacuated(context.committed().steps, dataCentre) === evacuate
@@ -49,7 +52,7 @@
   return wire.EvacuationReply.fromPartial({})
 }
 
-async function submit (context: QueueContext, { dataCentre, evacuate, changeCount, team }: wire.EvacuationRequest): Promise<Result<void, Refusal>> {
+async function submit (context: EvacuationContext, { dataCentre, evacuate, changeCount, team }: wire.EvacuationRequest): Promise<Result<void, Refusal>> {
   if (!isDataCentreName(dataCentre)) return err(notRunRefusal(RefusalCode.BadRequest, `the name of a data centre has 1 to ${MAX_DATA_CENTRE_NAME_LENGTH} characters`))
   const fields = { at: context.now(), dataCentre, changeCount, ...team !== '' && { team } }
   const transaction: StepTransaction = evacuate ? { kind: StepTransactionKind.StartEvacuation, ...fields } : { kind: StepTransactionKind.FinishEvacuation, ...fields }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,7 +1,9 @@
+import { getHeapStatistics } from 'node:v8'
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  decide, decodeState, EffectKind, encodeStateInChunks, evacuatedDataCentres, evacuatedRuns, guaranteeStatus, notRunRefusal, RefusalCode, TransactionKind, Verdict, type AgentEffect, type Applied, type Effect, type Refusal, type Section, type StepRunEnded, type State, type Transaction
+  AccountStarts, AdmissionControl, decide, decodeState, EffectKind, encodeStateInChunks, evacuatedDataCentres, evacuatedRuns, guaranteeStatus, notRunRefusal, RefusalCode, StepTransactionKind, TransactionKind, Verdict, waitingLimitsFor,
+  type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type StepRunEnded, type Transaction, type WaitingLimits
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, notLeaderMessage, type AgentCall } from './agents'
@@ -45,6 +47,8 @@
   readonly workerStopMilliseconds?: number
   /** Maximum size of the audit record; the oldest segments beyond it are removed. */
   readonly maxRecordBytes?: number
+  /** Limits of waiting step jobs; derived from the limit of the heap by default. */
+  readonly waitingLimits?: WaitingLimits
   /** Called when the data folder fails: the host can no longer guarantee durability, and the process should exit. */
   readonly onFailure?: (message: string) => void
   readonly log: (event: string, fields: object) => void
@@ -52,6 +56,7 @@
 
 const DEFAULT_WORKER_LEASE_MILLISECONDS = 6_000
 const DEFAULT_WORKER_STOP_MILLISECONDS = 1_000
+const BYTES_PER_MEGABYTE = 1_048_576
 /** Interval of checks for expired leases and overdue reservations, in milliseconds. */
 const TICK_INTERVAL_MILLISECONDS = 50
 /** Interval of log entries that remove ended jobs past their retention, in milliseconds. */
@@ -62,7 +67,7 @@
 const MAX_SNAPSHOT_SLICE_MILLISECONDS = 5
 /** Interval of log entries that save checkpoints, in milliseconds: the work lost when all workers and the leader are lost at once. */
 const CHECKPOINT_INTERVAL_MILLISECONDS = 1_000
-/** Interval at which reasons for waiting are logged, in milliseconds. */
+/** Interval at which reasons for waiting are logged and the rate of waiting work is measured, in milliseconds. */
 const WAITING_LOG_INTERVAL_MILLISECONDS = 1_000
 /** Interval at which the pace of workers is learned, in milliseconds. */
 const PACE_INTERVAL_MILLISECONDS = 1_000
@@ -112,6 +117,8 @@
   private readonly pace: PaceMonitor
   private readonly clock = LeaderClock.create()
   private readonly waiters = JobWaiters.create()
+  private readonly accountStarts = AccountStarts.create()
+  private readonly admission: AdmissionControl
   private readonly metrics = ControlMetrics.create({
     leads: () => Number(this.machine.leads),
     term: () => this.term,
@@ -122,6 +129,7 @@
     presentWorkers: () => this.machine.committed.workers.count((worker) => worker.present),
     brokenGuarantees: () => guaranteeStatus(this.machine.committed).reduce((sum, { missing }) => sum + missing, 0),
     openStepJobs: () => this.machine.committed.steps.open.size,
+    waitingStepTasks: () => this.machine.committed.steps.waitingWork.reduce((sum, { tasks }) => sum + tasks, 0),
     supervisedWorkers: () => this.machine.committed.steps.incarnations.size,
     silentWorkers: () => this.machine.leads ? this.supervisors.fleetView().silent.size : 0,
     slowWorkers: () => this.pace.slowCount,
@@ -140,6 +148,7 @@
   private stopping = false
 
   private constructor (private readonly options: ControlOptions, private readonly record: RecordStore) {
+    this.admission = AdmissionControl.create(options.waitingLimits ?? waitingLimitsFor(getHeapStatistics().heap_size_limit / BYTES_PER_MEGABYTE))
     this.machine = Machine.create({
       propose: (data) => this.replica.propose(data),
       onProposed: (effects) => { this.sendReservations(effects) },
@@ -217,7 +226,7 @@
       setInterval(() => { this.flushRefusals() }, REFUSALS_INTERVAL_MILLISECONDS),
       setInterval(() => { this.saveCheckpoints() }, CHECKPOINT_INTERVAL_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.pace.update(this.machine.head, this.supervisors.fleetView()) }, PACE_INTERVAL_MILLISECONDS),
-      setInterval(() => { if (this.machine.leads) this.decisionLog.logWaiting(this.machine.head, this.supervisors.fleetView()) }, WAITING_LOG_INTERVAL_MILLISECONDS),
+      setInterval(() => { if (this.machine.leads) this.observeWaiting() }, WAITING_LOG_INTERVAL_MILLISECONDS),
       setInterval(() => { if (this.machine.leads) this.submit({ kind: TransactionKind.Expire, at: this.clock.now() }) }, EXPIRE_INTERVAL_MILLISECONDS)
     ]
   }
@@ -281,12 +290,18 @@
     this.agents.beginLeading(this.clock.now())
     this.supervisors.beginLeading()
     this.pace.clear()
+    this.accountStarts.clear()
+    this.admission.beginLeading(this.clock.now())
   }
 
   private decide (head: State): readonly Transaction[] {
     const now = this.clock.now()
-    const decisions = decide(head, { now, silent: this.agents.silentWorkers(now), fleet: { ...this.supervisors.fleetView(), paces: this.pace.paces } })
-    for (const decision of decisions) this.decisionLog.logDecision(head, decision)
+    const fleet = { ...this.supervisors.fleetView(), paces: this.pace.paces, accountStarts: this.accountStarts }
+    const decisions = decide(head, { now, silent: this.agents.silentWorkers(now), fleet })
+    for (const decision of decisions) {
+      this.decisionLog.logDecision(head, decision)
+      if (decision.kind === StepTransactionKind.StartGang) this.accountStarts.record(head.steps, decision)
+    }
     return decisions
   }
 
@@ -311,6 +326,12 @@
     this.machine.wake()
   }
 
+  private observeWaiting (): void {
+    const { head } = this.machine
+    this.decisionLog.logWaiting(head, this.supervisors.fleetView())
+    this.admission.observe(head.steps, this.clock.now())
+  }
+
   private saveCheckpoints (): void {
     const unsaved = this.machine.leads ? this.supervisors.unsavedCheckpoints() : undefined
     if (unsaved !== undefined) this.submit(unsaved)
@@ -368,6 +389,8 @@
       head: () => this.machine.head,
       submit: (transaction) => this.machine.submit(transaction),
       confirm: () => this.confirm(),
+      admission: this.admission,
+      countSubmissionRefusal: (reason) => { this.metrics.countSubmissionRefusal(reason) },
       now: () => this.clock.now(),
       log: this.options.log,
       supervise: (call) => { this.supervise(call) },
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -2,6 +2,7 @@
 export {
   evacuatedDataCentres, evacuatedRuns, evacuationCount, isDataCentreName, isEvacuated, MAX_DATA_CENTRE_NAME_LENGTH, MAX_EVACUATED_DATA_CENTRES, RETURN_RAMP_MILLISECONDS, runsToAbandon, type ReportedRuns
 } from './evacuations'
+export * from './admission/index'
 export * from './model'
 export * from './resources'
 export { revocableStartsAt, type RevocableStart } from './revocable-starts'
@@ -15,6 +16,9 @@
 export { jobOfPath, resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
 export { queueOfJob } from './jobs'
 export * from './pending-jobs'
+export { AccountShares } from './account-shares'
+export { AccountStarts, type StartTimes } from './account-starts'
+export { overdueAt } from './overdue'
 export { objectiveMilliseconds } from './waiting-gangs'
 export { Mechanism, policyWithout, stepPolicy, type StepPolicy } from './policy'
 export { scheduleSteps, type FleetView, type RunProgress } from './schedule'
--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -3,6 +3,8 @@
  * Deployments always run {@link stepPolicy}; there is no setting for it.
  */
 import { slowWorkers } from './learning/worker-pace'
+import type { AccountShares } from './account-shares'
+import { FairOrder, type GangOrder, type OrderView } from './fair-order'
 import type { UrgentReserve } from './urgent-reserve'
 import type { WaitingGang } from './waiting-gangs'
 
@@ -16,6 +18,8 @@
   readonly maxWaitEstimates: number
   /** How long such a gang waits before it reserves workers, as a multiple of its estimate. */
   readonly reserveAfterEstimates: number
+  /** Orders waiting gangs, which are listed without regard to their accounts. */
+  readonly orderOf: (waiting: readonly WaitingGang[], shares: AccountShares, view: OrderView) => GangOrder
 }
 
 /** The policy in force. */
@@ -23,7 +27,8 @@
   startsInTurn: (waiting, reserve) => reserve.admits(waiting),
   slowWorkers,
   maxWaitEstimates: 0.5,
-  reserveAfterEstimates: 4
+  reserveAfterEstimates: 4,
+  orderOf: (waiting, shares, view) => FairOrder.of(waiting, shares, view)
 }
 
 /** A mechanism of the policy that can be switched off. */
@@ -35,7 +40,9 @@
   /** Gangs below the highest priority stop lower work that loses nothing. */
   WideWork = 'wide-work',
   /** Gangs below the highest priority reserve workers. */
-  Reservations = 'reservations'
+  Reservations = 'reservations',
+  /** Among equals, the account with the smallest dominant share goes first, and no account starves. */
+  FairOrder = 'fair-order'
 }
 
 /** What takes the place of each mechanism where it is off. */
@@ -43,7 +50,8 @@
   [Mechanism.UrgentReserve]: { startsInTurn: () => true },
   [Mechanism.WorkerPace]: { slowWorkers: () => new Map() },
   [Mechanism.WideWork]: { maxWaitEstimates: Infinity },
-  [Mechanism.Reservations]: { reserveAfterEstimates: Infinity }
+  [Mechanism.Reservations]: { reserveAfterEstimates: Infinity },
+  [Mechanism.FairOrder]: { orderOf: (waiting) => ({ gangs: () => waiting, recordStart: () => {}, isDueNow: () => false }) }
 }
 
 /**
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -1,5 +1,6 @@
 /** The part of a snapshot that concerns step jobs. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
+import { updateWaitingWork, type WaitingWorkIndex } from './admission/waiting-work'
 import type { NumberedDocument } from './document'
 import { initialStepState, type DataCentreEvacuation, type EvacuationState, type IncarnationLoss, type WorkerIncarnation, type StepJob, type StepState } from './model'
 import type { RevocableStart } from './revocable-starts'
@@ -59,9 +60,10 @@
     jobs: ImmutableMap(stored.jobs.map((job) => [job.identifier, job])),
     open: ImmutableSet(stored.open),
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
-    losses: stored.losses ?? [],
     ...stored.evacuations !== undefined && { evacuations: fromStoredEvacuations(stored.evacuations) },
-    ...stored.revocableStarts !== undefined && { revocableStarts: ImmutableMap(stored.revocableStarts) }
+    ...stored.revocableStarts !== undefined && { revocableStarts: ImmutableMap(stored.revocableStarts) },
+    waitingWork: stored.jobs.reduce<WaitingWorkIndex>((index, job) => updateWaitingWork(index, undefined, job), ImmutableMap()),
+    losses: stored.losses ?? []
   }
 }
 
--- a/test/evacuation-failures.test.ts
+++ b/test/evacuation-failures.test.ts
@@ -7,8 +7,7 @@
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { Channels, EvacuationClient, KnownHosts, LeaderClient } from '../src/client'
-import { changeEvacuation, listEvacuations } from '../src/control/evacuation-calls'
-import type { QueueContext } from '../src/control/queue-calls'
+import { changeEvacuation, listEvacuations, type EvacuationContext } from '../src/control/evacuation-calls'
 import { evacuationCount, isEvacuated, notRunRefusal, RefusalCode, StepTransactionKind, Verdict, type Transaction } from '../src/core/index'
 import { ConfirmReply, ControlService, EvacuationList, EvacuationReply } from '../src/wire'
 import { HttpServer, type HttpRequest } from '../platform/http-server'
@@ -45,7 +44,7 @@
 async function startHost (number: number): Promise<string> {
   const server = new Server()
   const leads = (): boolean => leader === number
-  const context: QueueContext = {
+  const context: EvacuationContext = {
     now: () => world.now,
     leads,
     leader: () => '',
