Learn which kinds of task slow each other down, and place them apart

Cause: the choice of a worker knew nothing of its neighbours, so tasks that compete for a part of their worker that is not counted were packed together.

Change: rate-intervals.ts divides the progress of each run into intervals with the same neighbours, interference.ts compares intervals of one run between which one kind came or left, at the level of accounts and over all accounts. The leader collects them from the agents' reports (interference-tracker.ts); findings are part of the tie-break between workers with as many free accelerators.

--- a/measurements/experiment.ts
+++ b/measurements/experiment.ts
@@ -23,6 +23,7 @@
   'worst kind': ({ byKind }) => Math.min(...Object.values(byKind)),
   'worst windows': ({ worstWindow }) => worstWindow,
   'lost processor-seconds': ({ lostProcessorSeconds }) => lostProcessorSeconds,
+  'processor-seconds lost to interference': ({ interferenceProcessorSeconds }) => interferenceProcessorSeconds,
   'late reclaims': ({ lateReclaims }) => lateReclaims
 }
 
--- a/measurements/load-profiles.ts
+++ b/measurements/load-profiles.ts
@@ -26,6 +26,8 @@
 
 /** A fleet and the load generated for it. */
 export interface LoadProfile {
+  /** Time for which jobs arrive; 60 s by default. */
+  readonly arrivalSeconds?: number
   readonly workers: number
   readonly workerProcessors: number
   readonly workerMegabytes: number
@@ -47,6 +49,8 @@
   readonly bursts: ReadonlyArray<{ readonly kind: string, readonly from: number, readonly to: number, readonly factor: number }>
   /** Period, in seconds, in which a share of the workers takes `factor` times as long. */
   readonly slow?: { readonly share: number, readonly from: number, readonly to: number, readonly factor: number }
+  /** Kinds whose tasks take `factor` times as long while a task of the kind `beside` runs on the same worker. */
+  readonly interference?: ReadonlyArray<{ readonly kind: string, readonly beside: string, readonly factor: number }>
 }
 
 const acceleratorChoices = [1, 2, 4, 8, 8]
@@ -216,7 +220,7 @@
   kinds: { portrait: largePortrait, proof: largeProof, script: largeScript }
 }
 
-/** Loads of the deployments: usual, with bursts, with a fifth of the workers slow, and with a power loss. */
+/** Loads of the deployments: usual, with bursts, with a fifth of the workers slow, with kinds that interfere, and with a power loss. */
 export const loads: Readonly<Record<string, LoadProfile>> = {
   'song huong': { ...songHuong, bursts: [] },
   'song huong, bursts': {
@@ -248,6 +252,13 @@
     ...valkenhand,
     bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }, { kind: 'pattern', from: 13, to: 17, factor: 2.3 }]
   },
+  'other fleet, noisy': {
+    ...otherFleet,
+    arrivalSeconds: 240,
+    bursts: [{ kind: 'report', from: 126, to: 133, factor: 2 }],
+    kinds: { report: { ...report, jobsPerSecond: 0.4 }, training: { ...training, jobsPerSecond: 0.25 }, cleaning: { ...cleaning, jobsPerSecond: 0.2 } },
+    interference: [{ kind: 'training', beside: 'cleaning', factor: 2 }, { kind: 'report', beside: 'training', factor: 1.4 }]
+  },
   'valkenhand grown, power lost': { ...valkenhand, bursts: [{ kind: 'scan', from: 5, to: 11, factor: 2.2 }], powerLossAt: 20 },
   'song huong large, bursts': {
     ...large,
--- a/measurements/step-load-simulation.ts
+++ b/measurements/step-load-simulation.ts
@@ -1,14 +1,17 @@
 /** Simulates a fleet and a load of step jobs around the scheduling policy for step jobs. */
 import {
-  apply, initialState, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker,
-  type RunKey, type RunProgress, type State, type StepJob, type StepPolicy, type StepSpecification, type Transaction
+  apply, initialState, InterferenceLearner, runName, RunOutcome, scheduleSteps, stepPolicy, StepTransactionKind, SuspectTracker, taskKind,
+  type ListedRun, type RunKey, type RunProgress, type State, type StepJob, type StepPolicy, type StepSpecification, type TaskKind, type Transaction
 } from '../src/core/index'
 import type { JobKind, LoadProfile } from './load-profiles'
 import { Random } from './random'
 
 const TICK_MILLISECONDS = 50
+/** Interval in which workers list the progress of their runs. */
+const REPORT_MILLISECONDS = 500
 const ARRIVAL_SECONDS = 60
-const END_SECONDS = 90
+/** Time for which the simulation goes on after the last arrival. */
+const REST_SECONDS = 30
 const WINDOW_SECONDS = 4
 const RESTORE_MILLISECONDS = 600
 /** Slowdown of a gang with `sameRack` that is spread over several racks. */
@@ -50,6 +53,8 @@
   readonly worstWindow: number
   /** Work that was lost, in processor seconds; an accelerator counts as eight processors. */
   readonly lostProcessorSeconds: number
+  /** Time that interference cost, weighted in the same way. */
+  readonly interferenceProcessorSeconds: number
   readonly starts: number
   readonly lateReclaims: number
 }
@@ -63,8 +68,11 @@
   private readonly jobs = new Map<string, SubmittedJob>()
   private readonly endTimes = new Map<string, number>()
   private readonly trust = SuspectTracker.create()
+  private readonly learner = InterferenceLearner.create()
+  private findings?: ReturnType<InterferenceLearner['findings']>
   private readonly random: Random
   private lostProcessorSeconds = 0
+  private interferenceProcessorSeconds = 0
   private starts = 0
   private lastEndNumber = 0
   private lateReclaims = 0
@@ -80,16 +88,19 @@
   run (): LoadResult {
     this.prepare()
     const start = this.now
-    for (let seconds = 0; seconds < END_SECONDS; seconds += TICK_MILLISECONDS / 1_000) {
+    for (let seconds = 0; seconds < this.arrivalSeconds + REST_SECONDS; seconds += TICK_MILLISECONDS / 1_000) {
       this.now = start + seconds * 1_000
-      if (seconds < ARRIVAL_SECONDS) this.submitArrivals(seconds)
+      if (seconds < this.arrivalSeconds) this.submitArrivals(seconds)
       this.advance(seconds)
+      if (this.load.interference !== undefined && Math.round(seconds * 1_000) % REPORT_MILLISECONDS === 0) this.learnInterference()
       if (Math.abs(seconds - (this.load.powerLossAt ?? -1)) < TICK_MILLISECONDS / 2_000) this.failAllRuns()
       this.decide()
     }
     return this.result(start)
   }
 
+  private get arrivalSeconds (): number { return this.load.arrivalSeconds ?? ARRIVAL_SECONDS }
+
   private applyTransaction (transaction: Transaction): boolean {
     const { state, outcome } = apply(this.state, transaction)
     this.state = state
@@ -175,6 +186,7 @@
 
   private advance (seconds: number): void {
     const slow = this.load.slow
+    const pressures = this.pressures()
     for (const [name, run] of [...this.runs]) {
       if (run.stoppedAt !== undefined) { if (this.now >= run.stoppedAt + this.load.stopMilliseconds) this.endRun(name, run, RunOutcome.Stopped); continue }
       let milliseconds = TICK_MILLISECONDS
@@ -182,7 +194,9 @@
       const position = Number(run.incarnation.slice(1))
       if (slow !== undefined && seconds >= slow.from && seconds < slow.to && position < slow.share * this.load.workers) milliseconds /= slow.factor
       const { slownesses = [1] } = this.load
-      run.done += milliseconds / run.slowdown / (slownesses[position % slownesses.length] ?? 1)
+      const pressure = pressures?.(run) ?? 1
+      this.interferenceProcessorSeconds += (1 - 1 / pressure) * run.weight * milliseconds / 1_000
+      run.done += milliseconds / run.slowdown / (slownesses[position % slownesses.length] ?? 1) / pressure
       if (run.checkpoints) run.checkpointedWork = Math.floor(run.done / this.load.checkpointMilliseconds) * this.load.checkpointMilliseconds
       const percent = Math.floor(100 * run.done / run.work)
       const known = this.progress.get(name)
@@ -191,6 +205,31 @@
     }
   }
 
+  /** The slow-down of each run by the kinds beside it; undefined in a load without interference. */
+  private pressures (): ((run: SimulatedRun) => number) | undefined {
+    const { interference } = this.load
+    if (interference === undefined) return undefined
+    const counts = new Map<string, number>()
+    const nameOf = (run: SimulatedRun, kind: string): string => `${run.incarnation} ${kind}`
+    const kindOf = (run: SimulatedRun): string => this.jobs.get(run.key.job)?.name ?? ''
+    for (const run of this.runs.values()) counts.set(nameOf(run, kindOf(run)), (counts.get(nameOf(run, kindOf(run))) ?? 0) + 1)
+    return (run) => interference.reduce((factor, one) => {
+      const others = (counts.get(nameOf(run, one.beside)) ?? 0) - Number(kindOf(run) === one.beside)
+      return one.kind === kindOf(run) && others > 0 ? factor * one.factor : factor
+    }, 1)
+  }
+
+  private learnInterference (): void {
+    const listed = new Map([...this.state.steps.incarnations.keys()].map((incarnation): [string, ListedRun[]] => [incarnation, []]))
+    for (const [name, { incarnation }] of this.runs) listed.get(incarnation)?.push({ name, percent: this.progress.get(name)?.percent ?? 0 })
+    const kindOf = (name: string): TaskKind => {
+      const { job = '', step = 0 } = this.runs.get(name)?.key ?? {}
+      return taskKind(this.jobs.get(job)?.name ?? '', this.state.steps.jobs.get(job)?.account ?? '', step)
+    }
+    for (const [incarnation, runs] of listed) this.learner.update({ incarnation, host: incarnation, runs, at: this.now }, kindOf)
+    this.findings = this.learner.findings(this.now)
+  }
+
   private failAllRuns (): void {
     for (const [name, run] of [...this.runs]) this.endRun(name, run, RunOutcome.Lost)
   }
@@ -214,7 +253,7 @@
 
   private decide (): void {
     for (let round = 0; round < 50; round++) {
-      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true }
+      const view = { now: this.now, silent: new Set<string>(), suspects: this.trust.suspects(this.now), progress: this.progress, complete: true, interference: this.findings }
       const decisions = scheduleSteps(this.state.steps, view, this.policy)
       if (decisions.length === 0) return
       for (const decision of decisions) {
@@ -271,7 +310,7 @@
     const byKind = Object.fromEntries(Object.keys(this.load.kinds).map((name) => [name, share(all.filter((job) => job.name === name))]))
     const sorted = [...all].sort((one, other) => other.size - one.size)
     const windowOf = ({ at }: SubmittedJob): number => Math.floor((at - start) / 1_000 / WINDOW_SECONDS)
-    const windows = Array.from({ length: Math.ceil(ARRIVAL_SECONDS / WINDOW_SECONDS) }, (_, window) => all.filter((job) => windowOf(job) === window))
+    const windows = Array.from({ length: Math.ceil(this.arrivalSeconds / WINDOW_SECONDS) }, (_, window) => all.filter((job) => windowOf(job) === window))
       .filter((jobs) => jobs.length > 0).map(share).sort((one, other) => one - other)
     return {
       earned: share(all),
@@ -279,6 +318,7 @@
       largest: share(sorted.slice(0, Math.ceil(all.length / 10))),
       worstWindow: ((windows[0] ?? 1) + (windows[1] ?? 1)) / 2,
       lostProcessorSeconds: this.lostProcessorSeconds,
+      interferenceProcessorSeconds: this.interferenceProcessorSeconds,
       starts: this.starts,
       lateReclaims: this.lateReclaims
     }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -17,7 +17,9 @@
 import {
   AgreementRefusal, MemberChangeKind, Replica, AgreementRole, type MemberChange, type MemberChangeError, type ReplicaRefusal
 } from './replica'
-import { refuseNotLeader, Supervisors, type SupervisorCall } from './supervisors'
+import { InterferenceTracker } from './interference-tracker'
+import { refuseNotLeader } from './refuse-supervisor'
+import { Supervisors, type SupervisorCall } from './supervisors'
 import { clusterView } from './view'
 import { JobWaiters } from './job-waiters'
 
@@ -104,6 +106,7 @@
   private readonly machine: Machine
   private readonly agents: Agents
   private readonly supervisors: Supervisors
+  private readonly interference: InterferenceTracker
   private readonly followers: ConfigurationFollowers
   private readonly decisionLog: DecisionLog
   private readonly clock = LeaderClock.create()
@@ -149,13 +152,16 @@
       log: options.log
     }
     this.agents = Agents.create(shared)
+    this.interference = InterferenceTracker.create({ ...shared, steps: () => this.machine.head.steps })
     this.supervisors = Supervisors.create({
       ...shared,
+      interference: this.interference,
       confirm: () => this.confirm(),
       controlHosts: () => this.controlHosts(),
       leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS,
       stopMilliseconds: options.workerStopMilliseconds ?? DEFAULT_WORKER_STOP_MILLISECONDS
     })
+    this.metrics.addInterference(() => this.machine.leads ? this.interference.slowDowns : [])
     this.decisionLog = DecisionLog.create({ supervisors: this.supervisors, metrics: this.metrics, ...shared })
     this.followers = ConfigurationFollowers.create(shared.committed, shared.term, () => this.controlHosts())
   }
@@ -269,6 +275,7 @@
     this.clock.begin(this.machine.committed.time)
     this.agents.beginLeading(this.clock.now())
     this.supervisors.beginLeading()
+    this.interference.clear()
   }
 
   private decide (head: State): readonly Transaction[] {
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { InterferenceFinding } from '../core/index'
+import { registerInterferenceMetrics } from './interference-metrics'
 
 /** Functions that return the values of the gauges when metrics are collected. */
 export interface ControlGauges {
@@ -108,6 +110,11 @@
     this.crashSuspects.inc({ evidence })
   }
 
+  /** Adds the kinds of task that slow each other down; the function is called at each collection. */
+  addInterference (read: () => readonly InterferenceFinding[]): void {
+    registerInterferenceMetrics(this.registry, read)
+  }
+
   /** Counts a start of leadership. */
   countLeadership (): void {
     this.termsLed.inc()
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -10,7 +10,8 @@
 } from '../core/index'
 import * as wire from '../wire/index'
 import { CheckpointSelector } from './checkpoint-selector'
-import { notLeaderRefusal } from './convert'
+import type { InterferenceTracker } from './interference-tracker'
+import { refuseNotLeader } from './refuse-supervisor'
 import { RunProgressTracker } from './run-progress'
 import { SignsOfLifeTracker } from './signs-of-life'
 import { MAX_LOGGED_RUNS, UnassignedRuns } from './unassigned-runs'
@@ -47,6 +48,8 @@
   readonly leaseMilliseconds: number
   /** Longest time that a worker takes to end its runs once their lease has expired, in milliseconds. */
   readonly stopMilliseconds: number
+  /** Learns from the reports which kinds of task interfere. */
+  readonly interference?: InterferenceTracker
   readonly log: (event: string, fields: object) => void
 }
 
@@ -203,6 +206,7 @@
       suspects: this.trust.suspects(now),
       progress: this.progress.all,
       aliveAt: this.signsOfLife.aliveAt,
+      interference: this.context.interference?.findingsAt(now),
       complete: performance.now() - this.leadingSince > REPORTS_COMPLETE_AFTER_MILLISECONDS
     }
   }
@@ -234,6 +238,7 @@
     for (const incarnation of report.gone) if (!this.isSucceededBy(incarnation, report)) this.submitLoss(incarnation, cause, report)
     if (life !== undefined && !report.gone.includes(life.incarnation)) this.handleIncarnation(report, life)
     this.progress.update(supervisor.incarnation, report.runs, this.context.now())
+    if (life !== undefined) this.context.interference?.update(life.incarnation, report.host, report.runs, this.context.now())
     this.handleRunEnds(supervisor.incarnation, report)
     this.recordUnassignedRuns(supervisor.incarnation, report)
     this.pendingReports.push({ supervisor, sequence: report.sequence, incarnation: supervisor.incarnation, clock: report.clock, receivedAt: performance.now() })
@@ -521,13 +526,3 @@
     this.context.log('supervisor-gone', { host: supervisor.host })
   }
 }
-
-/**
- * Ends a supervising agent's stream with the refusal of a host that does not lead.
- * @param call - the stream
- * @param leader - the leader's address, where it is known
- */
-export function refuseNotLeader (call: SupervisorCall, leader: string | undefined): void {
-  call.write(wire.WorkerOrders.fromPartial({ refusal: notLeaderRefusal(leader) }))
-  call.end()
-}
--- a/src/core/steps/free-capacity.ts
+++ b/src/core/steps/free-capacity.ts
@@ -1,5 +1,6 @@
 /** Free capacity of each worker, and best-fit placement of tasks on it. */
 import { addResources, type WorkerIncarnation, type Resources, type StepSpecification } from './model'
+import type { WorkerPenalty } from './neighbours'
 import { fitsInto } from './resources'
 import type { TaskPlacement } from './transactions'
 
@@ -139,12 +140,13 @@
  * @param tasks - positions of the tasks within the step
  * @param workers - the eligible workers
  * @param capacity - their free capacity, from which the placements are allocated unless one of the tasks does not fit
+ * @param penalty - rates workers that fit by their neighbours; none by default. As all tasks are alike, it does not affect whether they fit
  * @returns a worker for each task, or undefined where they do not all fit
  */
-export function placeTasks (requirements: TaskRequirements, tasks: readonly number[], workers: readonly WorkerIncarnation[], capacity: FreeCapacity): TaskPlacement[] | undefined {
+export function placeTasks (requirements: TaskRequirements, tasks: readonly number[], workers: readonly WorkerIncarnation[], capacity: FreeCapacity, penalty?: WorkerPenalty): TaskPlacement[] | undefined {
   const placements: TaskPlacement[] = []
   for (const task of tasks) {
-    const chosen = bestFit(requirements, workers, capacity)
+    const chosen = bestFit(requirements, workers, capacity, penalty)
     if (chosen === undefined) {
       for (const { incarnation } of placements) capacity.deallocate(incarnation, requirements)
       return undefined
@@ -155,13 +157,14 @@
   return placements
 }
 
-function bestFit (requirements: TaskRequirements, workers: readonly WorkerIncarnation[], capacity: FreeCapacity): WorkerIncarnation | undefined {
+function bestFit (requirements: TaskRequirements, workers: readonly WorkerIncarnation[], capacity: FreeCapacity, penalty?: WorkerPenalty): WorkerIncarnation | undefined {
   let best: WorkerIncarnation | undefined
   let bestScore = Infinity
   for (const worker of workers) {
     const free = capacity.freeOn(worker.incarnation)
     if (!fitsInto(free, requirements) || !capacity.isWithinTaskLimit(worker.incarnation, requirements)) continue
-    const score = freeScore(free, worker) + UNCHECKPOINTED_WEIGHT * (requirements.losesWork ? -1 : 1) * capacity.uncheckpointedOn(worker.incarnation)
+    const tieBreak = penalty === undefined ? freeShare(free, worker) : withPenalty(freeShare(free, worker), penalty(worker))
+    const score = free.accelerators + tieBreak + UNCHECKPOINTED_WEIGHT * (requirements.losesWork ? -1 : 1) * capacity.uncheckpointedOn(worker.incarnation)
     if (score < bestScore) { best = worker; bestScore = score }
   }
   return best
@@ -173,8 +176,15 @@
  */
 const UNCHECKPOINTED_WEIGHT = 1.5
 
-/** Free accelerators, with the free share of the scarcer of processors and memory as a tie-break. */
-function freeScore (free: Resources, worker: WorkerIncarnation): number {
-  const share = Math.min(free.processors / Math.max(1, worker.processors), free.memoryMegabytes / Math.max(1, worker.memoryMegabytes))
-  return free.accelerators + share
+/** Share of a penalty in the tie-break. */
+const PENALTY_SHARE = 0.75
+
+/** The free share of the scarcer of processors and memory, the tie-break between workers with as many free accelerators. */
+function freeShare (free: Resources, worker: WorkerIncarnation): number {
+  return Math.min(free.processors / Math.max(1, worker.processors), free.memoryMegabytes / Math.max(1, worker.memoryMegabytes))
+}
+
+/** Stays below 1, so that a penalty outweighs no free accelerator and whole workers stay as free as without it. */
+function withPenalty (share: number, penalty: number): number {
+  return (1 - PENALTY_SHARE) * share + PENALTY_SHARE * penalty / (1 + penalty)
 }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -6,6 +6,8 @@
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
+import type { InterferenceFindings } from './learning/interference-learner'
+import { Neighbours } from './neighbours'
 import type { RunKey } from './run'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { planPreemption, releaseStopping, victimsFor, type PreemptionPlan } from './preemption'
@@ -24,6 +26,8 @@
   readonly complete: boolean
   /** When this leader last saw each incarnation alive, in milliseconds since the epoch; absent where all count as alive. */
   readonly aliveAt?: ReadonlyMap<string, number>
+  /** Kinds of task that slow each other down; absent where none are known. */
+  readonly interference?: InterferenceFindings
 }
 
 /** Time after which a guaranteed gang is spread over several racks; leaves half of the time allowed for a reclaim. */
@@ -62,6 +66,7 @@
   private readonly guaranteed: ReadonlySet<string>
   private readonly reserve: UrgentReserve
   private readonly isolation: CrashIsolation
+  private readonly neighbours: Neighbours
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -70,6 +75,7 @@
     this.guaranteed = guaranteedJobs(state)
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
     this.isolation = CrashIsolation.of(state, view)
+    this.neighbours = Neighbours.of(state, policy.interference(view.interference))
   }
 
   static create (state: StepState, view: FleetView, policy: StepPolicy): SchedulingRound {
@@ -116,6 +122,7 @@
     const placements = this.place(waiting, workers, suspect ? (group) => this.isolation.quiet(group) : undefined)
     if (placements === undefined) return suspect && this.hold(waiting, workers)
     this.isolation.recordStart(placements, suspect)
+    this.neighbours.recordStart(waiting, placements)
     const { key, gang, requirements } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
     this.decisions.push(decision)
@@ -137,8 +144,9 @@
   /** Tries the groups in order, each split by preference. */
   private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[], split = (group: WorkerIncarnation[]) => [group]): TaskPlacement[] | undefined {
     const tasks = taskPositions(waiting)
+    const penalty = this.neighbours.penaltyFor(waiting)
     for (const group of this.groups(waiting, workers).flatMap(split)) {
-      const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity)
+      const placements = placeTasks(waiting.requirements, tasks, group, this.freeCapacity, penalty)
       if (placements !== undefined) return placements
     }
     return undefined
