--- a/src/command/entry-command.ts
+++ b/src/command/entry-command.ts
@@ -107,7 +107,16 @@
  * @returns the parsed value; throws {@link UsageError}
  */
 export async function readJsonFile (path: string): Promise<unknown> {
-  const text = await readTextFile(path)
+  return parseJsonText(path, await readTextFile(path))
+}
+
+/**
+ * Parses the text of a local JSON file.
+ * @param path - the file
+ * @param text - its text
+ * @returns the parsed value; throws {@link UsageError}
+ */
+export function parseJsonText (path: string, text: string): unknown {
   try {
     return JSON.parse(text)
   } catch (error) {
--- a/src/core/configuration-check.ts
+++ b/src/core/configuration-check.ts
@@ -28,7 +28,8 @@
   readonly consequences: readonly Consequence[]
 }
 
-const changeSchema = Type.Partial(documentSchema, { additionalProperties: false, $id: 'bramleyflow-change' })
+/** The sections of a change; each is optional. */
+export const changeSchema = Type.Partial(documentSchema, { additionalProperties: false, $id: 'bramleyflow-change' })
 
 /**
  * Checks a change to the document before it is proposed.
