Say that queues without an address are reached by their name; test the path of reports

Cause: a queue without a host, or with a prefix that no path begins with, was called unreachable, but the project's own API names queues. No test showed that reports reach the interference tracker through the leader's streams.

--- a/src/core/document-check/finding.ts
+++ b/src/core/document-check/finding.ts
@@ -3,7 +3,7 @@
 
 /** A part of a document that is accepted and can hardly be meant. */
 export enum FindingKind {
-  /** No request can have the address of the queue. */
+  /** No request can have the address of the queue; it can be named in the API of this project. */
   UnreachableQueue = 'unreachable-queue',
   /** The jobs below the prefix of the queue go to another one, whose prefix is the same with / at its end. */
   HiddenQueue = 'hidden-queue',
--- a/src/core/document-check/queue-findings.ts
+++ b/src/core/document-check/queue-findings.ts
@@ -29,8 +29,8 @@
 }
 
 function addressFindings (queues: readonly Queue[], { name, host, prefix }: Queue, path: string): Finding[] {
-  if (host === '') return [{ kind: FindingKind.UnreachableQueue, path: `${path}/host`, text: `queue ${name} has no host, so that no request matches it` }]
-  if (!prefix.startsWith('/')) return [{ kind: FindingKind.UnreachableQueue, path: `${path}/prefix`, text: `the prefix ${prefix} of queue ${name} does not begin with /, as every path does` }]
+  if (host === '') return [{ kind: FindingKind.UnreachableQueue, path: `${path}/host`, text: `queue ${name} has no host, so that requests reach it by its name only` }]
+  if (!prefix.startsWith('/')) return [{ kind: FindingKind.UnreachableQueue, path: `${path}/prefix`, text: `the prefix ${prefix} of queue ${name} does not begin with /, as every path does; requests reach it by its name only` }]
   const longer = queues.filter((other) => other.host === host && other.prefix !== prefix && other.prefix.startsWith(prefix))
   return longer.slice(0, MAX_HIDDEN_PARTS).map((other) => ({
     kind: other.prefix === `${prefix}/` ? FindingKind.HiddenQueue : FindingKind.PartlyHiddenQueue,
@@ -65,7 +65,7 @@
   const urgent = queues.some(({ priority }) => priority === 0)
   return accounts.flatMap(({ name, keys, guaranteedAccelerators }, position) => {
     const findings: Finding[] = []
-    if (keys.length === 0) findings.push({ kind: FindingKind.AccountWithoutKeys, path: `/accounts/${position}/keys`, text: `account ${name} has no key, so that no request is made in its name` })
+    if (keys.length === 0) findings.push({ kind: FindingKind.AccountWithoutKeys, path: `/accounts/${position}/keys`, text: `account ${name} has no key, so that no request with a key is made in its name` })
     if (guaranteedAccelerators > 0 && !urgent) {
       findings.push({ kind: FindingKind.GuaranteeWithoutQueue, path: `/accounts/${position}/guaranteedAccelerators`, text: `the guarantee of account ${name} covers jobs of priority 0, and no queue has this priority` })
     }
--- a/test/interference-tracker.test.ts
+++ b/test/interference-tracker.test.ts
@@ -1,10 +1,12 @@
 /** The leader's collection of what workers list, its log lines and metrics, and what a change of leader does to them. */
+import { EventEmitter } from 'node:events'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { Registry } from 'prom-client'
 import { registerInterferenceMetrics } from '../src/control/interference-metrics'
 import { InterferenceTracker } from '../src/control/interference-tracker'
 import type { RunKey } from '../src/core/index'
-import { RunStatus } from '../src/wire'
+import { Supervisors, type SupervisorCall } from '../src/control/supervisors'
+import { RunStatus, WorkerReport } from '../src/wire'
 import { step, StepWorld, worker } from './steps-fixture'
 
 const REPORT_MILLISECONDS = 500
@@ -126,3 +128,28 @@
   tracker.findingsAt(world.now)
   expect(tracker.listedIncarnations).toBe(0)
 })
+
+test('the reports of agents reach the tracker, and its findings the view of the fleet', () => {
+  const supervisors = Supervisors.create({
+    head: () => world.state,
+    committed: () => world.state,
+    term: () => 3,
+    now: () => world.now,
+    submit: async () => { await Promise.resolve() },
+    confirm: async () => await Promise.resolve(false),
+    controlHosts: () => [],
+    leaseMilliseconds: 4_000,
+    stopMilliseconds: 50,
+    interference: tracker,
+    log: () => {}
+  })
+  const call = Object.assign(new EventEmitter(), { write: () => true, end: () => {} }) as unknown as SupervisorCall
+  supervisors.attach(call)
+  const { host, labels, ...life } = worker('a')
+  call.emit('data', WorkerReport.fromPartial({ host, sequence: 1, clock: 1_000, life: { ...life, labels: [...labels] }, runs: [status({ job: 'slowed', step: 0, task: 0, attempt: 1 }, 10)] }))
+  expect(tracker.listedIncarnations).toBe(1)
+  expect(supervisors.fleetView().interference).toBeUndefined()
+  reportRuns()
+  world.now += 2_000
+  expect(supervisors.fleetView().interference?.all).toHaveLength(2)
+})
