--- a/measurements/experiment.ts
+++ b/measurements/experiment.ts
@@ -25,6 +25,7 @@
   'worst account': ({ worstAccount }) => worstAccount,
   'worst windows': ({ worstWindow }) => worstWindow,
   'lost processor-seconds': ({ lostProcessorSeconds }) => lostProcessorSeconds,
+  'processor-seconds lost to interference': ({ interferenceProcessorSeconds }) => interferenceProcessorSeconds,
   'late reclaims': ({ lateReclaims }) => lateReclaims
 }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -2,25 +2,26 @@
 import * as grpc from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  AccountStarts, AdmissionControl, decide, decodeState, EffectKind, encodeStateInChunks, evacuatedDataCentres, evacuatedRuns, guaranteeStatus, notRunRefusal, RefusalCode, StepTransactionKind, TransactionKind, Verdict, waitingLimitsFor,
+  AccountStarts, AdmissionControl, decide, decodeState, EffectKind, encodeStateInChunks, evacuatedDataCentres, evacuatedRuns, guaranteeStatus, StepTransactionKind, TransactionKind, waitingLimitsFor,
   type AgentEffect, type Applied, type Effect, type Refusal, type Section, type State, type StepRunEnded, type Transaction, type WaitingLimits
 } from '../core/index'
 import * as wire from '../wire/index'
 import { Agents, notLeaderMessage, type AgentCall } from './agents'
 import { createControlService, type CallContext } from './calls'
-import { notLeaderRefusal, toWireRefusal } from './convert'
+import { notLeaderRefusal } from './convert'
 import { DecisionLog } from './decision-log'
 import { CONFIRM_INTERVAL_MILLISECONDS, ConfigurationFollowers, type ConfigurationCall } from './configuration-followers'
 import { LeaderClock } from './leader-clock'
 import { Machine, recordLines } from './machine'
+import { memberChanges, memberRefusal } from './member-requests'
 import { ControlMetrics } from './metrics'
 import { claimDataFolder } from './owner'
 import { PaceMonitor } from './pace-monitor'
 import { RecordStore } from './record-store'
-import {
-  AgreementRefusal, MemberChangeKind, Replica, AgreementRole, type MemberChange, type MemberChangeError, type ReplicaRefusal
-} from './replica'
-import { refuseNotLeader, Supervisors, type SupervisorCall } from './supervisors'
+import { Replica, AgreementRole } from './replica'
+import { InterferenceTracker } from './interference-tracker'
+import { refuseNotLeader } from './refuse-supervisor'
+import { Supervisors, type SupervisorCall } from './supervisors'
 import { clusterView } from './view'
 import { JobWaiters } from './job-waiters'
 
@@ -61,8 +62,6 @@
 const TICK_INTERVAL_MILLISECONDS = 50
 /** Interval of log entries that remove ended jobs past their retention, in milliseconds. */
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000
-/** Time after which a refused membership change may be tried again, in milliseconds. */
-const MEMBERS_RETRY_AFTER_MILLISECONDS = 500
 /** Time for which encoding a snapshot may block the event loop without a break, in milliseconds. */
 const MAX_SNAPSHOT_SLICE_MILLISECONDS = 5
 /** Interval of log entries that save checkpoints, in milliseconds: the work lost when all workers and the leader are lost at once. */
@@ -85,19 +84,6 @@
   'grpc.keepalive_timeout_ms': 3_000
 }
 
-/** Membership changes by the operation in the request. Any other operation transfers leadership. */
-const memberChanges: { readonly [operation: string]: (request: wire.ChangeMembersRequest) => MemberChange } = {
-  add: ({ identity, address }) => ({ kind: MemberChangeKind.AddLearner, identity, address }),
-  promote: ({ identity }) => ({ kind: MemberChangeKind.Promote, identity }),
-  remove: ({ identity }) => ({ kind: MemberChangeKind.Remove, identity })
-}
-
-function memberRefusal (error: ReplicaRefusal & Partial<MemberChangeError>): wire.Refusal {
-  const code = error.refusal === AgreementRefusal.ReplicaRefusal ? RefusalCode.NotLeader : RefusalCode.Conflict
-  const verdict = error.mayHaveRun === true ? Verdict.MayHaveRun : Verdict.NotRun
-  return toWireRefusal({ ...notRunRefusal(code, `members were not changed: ${error.refusal}`, MEMBERS_RETRY_AFTER_MILLISECONDS), verdict }, error.leader)
-}
-
 /** Refusals of one account with one code that are not in the log yet. */
 interface CountedRefusal {
   readonly account: string
@@ -112,6 +98,7 @@
   private readonly machine: Machine
   private readonly agents: Agents
   private readonly supervisors: Supervisors
+  private readonly interference: InterferenceTracker
   private readonly followers: ConfigurationFollowers
   private readonly decisionLog: DecisionLog
   private readonly pace: PaceMonitor
@@ -167,14 +154,17 @@
       log: options.log
     }
     this.agents = Agents.create(shared)
+    this.interference = InterferenceTracker.create({ ...shared, steps: () => this.machine.head.steps })
     this.supervisors = Supervisors.create({
       ...shared,
+      interference: this.interference,
       confirm: () => this.confirm(),
       controlHosts: () => this.controlHosts(),
       leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS,
       stopMilliseconds: options.workerStopMilliseconds ?? DEFAULT_WORKER_STOP_MILLISECONDS
     })
     this.pace = PaceMonitor.create(options.log)
+    this.metrics.addInterference(() => this.machine.leads ? this.interference.slowDowns : [])
     this.decisionLog = DecisionLog.create({ supervisors: this.supervisors, metrics: this.metrics, ...shared })
     this.followers = ConfigurationFollowers.create(shared.committed, shared.term, () => this.controlHosts())
   }
@@ -292,6 +282,7 @@
     this.pace.clear()
     this.accountStarts.clear()
     this.admission.beginLeading(this.clock.now())
+    this.interference.clear()
   }
 
   private decide (head: State): readonly Transaction[] {
--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -5,6 +5,7 @@
 import { slowWorkers } from './learning/worker-pace'
 import type { AccountShares } from './account-shares'
 import { FairOrder, type GangOrder, type OrderView } from './fair-order'
+import type { InterferenceFindings } from './learning/interference-learner'
 import type { UrgentReserve } from './urgent-reserve'
 import type { WaitingGang } from './waiting-gangs'
 
@@ -20,6 +21,8 @@
   readonly reserveAfterEstimates: number
   /** Orders waiting gangs, which are listed without regard to their accounts. */
   readonly orderOf: (waiting: readonly WaitingGang[], shares: AccountShares, view: OrderView) => GangOrder
+  /** What the choice of a worker takes into account of the kinds that interfere. */
+  readonly interference: (findings: InterferenceFindings | undefined) => InterferenceFindings | undefined
 }
 
 /** The policy in force. */
@@ -28,7 +31,8 @@
   slowWorkers,
   maxWaitEstimates: 0.5,
   reserveAfterEstimates: 4,
-  orderOf: (waiting, shares, view) => FairOrder.of(waiting, shares, view)
+  orderOf: (waiting, shares, view) => FairOrder.of(waiting, shares, view),
+  interference: (findings) => findings
 }
 
 /** A mechanism of the policy that can be switched off. */
@@ -42,7 +46,9 @@
   /** Gangs below the highest priority reserve workers. */
   Reservations = 'reservations',
   /** Among equals, the account with the smallest dominant share goes first, and no account starves. */
-  FairOrder = 'fair-order'
+  FairOrder = 'fair-order',
+  /** Kinds of task that slow each other down are placed apart. */
+  Interference = 'interference'
 }
 
 /** What takes the place of each mechanism where it is off. */
@@ -51,7 +57,8 @@
   [Mechanism.WorkerPace]: { slowWorkers: () => new Map() },
   [Mechanism.WideWork]: { maxWaitEstimates: Infinity },
   [Mechanism.Reservations]: { reserveAfterEstimates: Infinity },
-  [Mechanism.FairOrder]: { orderOf: (waiting) => ({ gangs: () => waiting, recordStart: () => {}, isDueNow: () => false }) }
+  [Mechanism.FairOrder]: { orderOf: (waiting) => ({ gangs: () => waiting, recordStart: () => {}, isDueNow: () => false }) },
+  [Mechanism.Interference]: { interference: () => undefined }
 }
 
 /**
--- a/src/core/steps/reservations.ts
+++ b/src/core/steps/reservations.ts
@@ -6,6 +6,7 @@
 import { expectedEnds, type EndsView, type ExpectedEnd } from './expected-ends'
 import { placeTasks, type FreeCapacity } from './free-capacity'
 import type { StepState, WorkerIncarnation } from './model'
+import type { WorkerPenalty } from './neighbours'
 import type { TaskPlacement } from './transactions'
 import { taskPositions, type WaitingGang } from './waiting-gangs'
 
@@ -83,10 +84,11 @@
    * Places a gang and leaves all reserved capacity free.
    * @param waiting - the gang
    * @param group - the eligible workers
+   * @param penalty - see placeTasks
    * @returns a worker for each task, or undefined where they do not all fit
    */
-  placeBeside (waiting: WaitingGang, group: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
-    return placeTasks(waiting.requirements, taskPositions(waiting), group, this.unreserved)
+  placeBeside (waiting: WaitingGang, group: readonly WorkerIncarnation[], penalty?: WorkerPenalty): TaskPlacement[] | undefined {
+    return placeTasks(waiting.requirements, taskPositions(waiting), group, this.unreserved, penalty)
   }
 
   /** Finds by bisection after how many of the expected ends the gang fits. */
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -9,6 +9,8 @@
 import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
+import type { InterferenceFindings } from './learning/interference-learner'
+import { Neighbours } from './neighbours'
 import type { RunKey } from './run'
 import { StepTransactionKind, type StartGang, type StepTransaction, type StopGang, type TaskPlacement } from './transactions'
 import { planPreemption, releaseStopping, victimsFor, type PreemptionPlan } from './preemption'
@@ -36,6 +38,8 @@
   readonly runTimes?: LearnedRunTimes
   /** When this leader last started work of each account; absent where no starts are known. */
   readonly accountStarts?: StartTimes
+  /** Kinds of task that slow each other down; absent where none are known. */
+  readonly interference?: InterferenceFindings
 }
 
 /** Time after which a guaranteed gang is spread over several racks; leaves half of the time allowed for a reclaim. */
@@ -79,6 +83,7 @@
   private reservations?: Reservations
   /** The last placement class, as the gangs of a step follow one another. */
   private lastClass?: { readonly job: StepJob, readonly step: StepSpecification, readonly name: string, readonly placementClass: string }
+  private readonly neighbours: Neighbours
 
   private constructor (private readonly state: StepState, private readonly view: FleetView, private readonly policy: StepPolicy) {
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
@@ -88,6 +93,7 @@
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
     this.isolation = CrashIsolation.of(state, view)
     this.pace = PacePreference.of(policy.slowWorkers(view.paces ?? new Map()))
+    this.neighbours = Neighbours.of(state, policy.interference(view.interference))
   }
 
   static create (state: StepState, view: FleetView, policy: StepPolicy): SchedulingRound {
@@ -164,6 +170,7 @@
     const placements = this.place(waiting, workers, suspect ? (group) => this.isolation.quiet(group) : undefined)
     if (placements === undefined) return suspect && this.hold(waiting, workers)
     this.isolation.recordStart(placements, suspect)
+    this.neighbours.recordStart(waiting, placements)
     const { key, gang, requirements } = waiting
     const decision: StartGang = { kind: StepTransactionKind.StartGang, at: this.view.now, ...key, attempt: gang.attempts + 1, placements }
     this.decisions.push(decision)
@@ -194,12 +201,13 @@
   /** Urgent work, and work that may backfill, also uses reserved capacity. */
   private placeWithin (waiting: WaitingGang, group: readonly WorkerIncarnation[]): TaskPlacement[] | undefined {
     const { reservations } = this
+    const penalty = this.neighbours.penaltyFor(waiting)
     if (reservations === undefined || waiting.queue.priority === 0 || reservations.mayBackfill(waiting)) {
-      const placements = placeTasks(waiting.requirements, taskPositions(waiting), group, this.freeCapacity)
+      const placements = placeTasks(waiting.requirements, taskPositions(waiting), group, this.freeCapacity, penalty)
       if (placements !== undefined) reservations?.recordAllocation(waiting, placements)
       return placements
     }
-    const placements = reservations.placeBeside(waiting, group)
+    const placements = reservations.placeBeside(waiting, group, penalty)
     for (const { incarnation } of placements ?? []) this.freeCapacity.allocate(incarnation, waiting.requirements)
     return placements
   }
