Measure the shares of accounts only where accounts compete

Cause: each round measured them, also where one account waits alone.

Change: they are measured when they are first read; allocations of the round from before that are added then.

Tests: test/fair-order (7), test/step-schedule (18), test/admission (11), test/waiting-log (7), test/queue-calls (4) pass.

--- a/src/core/steps/account-shares.ts
+++ b/src/core/steps/account-shares.ts
@@ -15,35 +15,46 @@
 
 const noUsage: AccountUsage = { used: noResources, overdue: false }
 
-/** Shares of the accounts at the start of a scheduling round, to which its starts are added. */
+/** Usage of all accounts. */
+interface FleetUsage {
+  readonly fleet: Resources
+  readonly byAccount: Map<string, AccountUsage>
+  readonly weights: ReadonlyMap<string, number>
+}
+
+/** What a round has allocated to tasks of an account. */
+interface Allocation {
+  readonly account: string
+  readonly usage: AccountUsage
+}
+
+/** Shares of the accounts at the start of a scheduling round, to which its starts are added. Measured only when they are needed. */
 export class AccountShares {
-  private constructor (private readonly fleet: Resources, private readonly usage: Map<string, AccountUsage>, private readonly weights: ReadonlyMap<string, number>) {}
+  private measured?: FleetUsage
+  /** Allocations from before the shares were needed. */
+  private readonly pending: Allocation[] = []
+
+  private constructor (private readonly state: StepState) {}
 
   /**
-   * Measures the shares.
+   * Creates the shares.
    * @param state - state of the step jobs
    * @returns the shares of what runs now, including runs that are being stopped
    */
-  static measure (state: StepState): AccountShares {
-    const usage = new Map<string, AccountUsage>()
-    let fleet = noResources
-    for (const worker of state.incarnations.values()) {
-      fleet = addResources(fleet, worker)
-      for (const [account, added] of usageOn(state, worker)) addUsage(usage, account, added)
-    }
-    const accounts: readonly QueueAccount[] = state.document?.document.accounts ?? []
-    return new AccountShares(fleet, usage, new Map(accounts.map(({ name, weight = DEFAULT_WEIGHT }) => [name, weight])))
+  static of (state: StepState): AccountShares {
+    return new AccountShares(state)
   }
 
   /** The largest of the account's shares of accelerators, processors and memory, divided by its weight. */
   weightedShare (account: string): number {
-    return this.dominantShare(account) / (this.weights.get(account) ?? DEFAULT_WEIGHT)
+    return this.dominantShare(account) / (this.usage.weights.get(account) ?? DEFAULT_WEIGHT)
   }
 
   /** The same without the weight: from 0 to 1, and above where workers have shrunk or been lost. */
   dominantShare (account: string): number {
+    const { fleet } = this.usage
     const { used: { processors, memoryMegabytes, accelerators } } = this.usageOf(account)
-    return Math.max(processors / Math.max(1, this.fleet.processors), memoryMegabytes / Math.max(1, this.fleet.memoryMegabytes), accelerators / Math.max(1, this.fleet.accelerators))
+    return Math.max(processors / Math.max(1, fleet.processors), memoryMegabytes / Math.max(1, fleet.memoryMegabytes), accelerators / Math.max(1, fleet.accelerators))
   }
 
   /** Whether the account has no run and no capacity that is allocated to it. */
@@ -58,12 +69,32 @@
 
   /** Adds capacity that a round has allocated to tasks of the account. */
   add (account: string, used: Resources, overdue: boolean): void {
-    addUsage(this.usage, account, { used, overdue })
+    const usage = { used, overdue }
+    if (this.measured === undefined) this.pending.push({ account, usage })
+    else addUsage(this.measured.byAccount, account, usage)
   }
 
   private usageOf (account: string): AccountUsage {
-    return this.usage.get(account) ?? noUsage
+    return this.usage.byAccount.get(account) ?? noUsage
+  }
+
+  private get usage (): FleetUsage {
+    if (this.measured !== undefined) return this.measured
+    this.measured = measureUsage(this.state)
+    for (const { account, usage } of this.pending) addUsage(this.measured.byAccount, account, usage)
+    return this.measured
+  }
+}
+
+function measureUsage (state: StepState): FleetUsage {
+  const byAccount = new Map<string, AccountUsage>()
+  let fleet = noResources
+  for (const worker of state.incarnations.values()) {
+    fleet = addResources(fleet, worker)
+    for (const [account, added] of usageOn(state, worker)) addUsage(byAccount, account, added)
   }
+  const accounts: readonly QueueAccount[] = state.document?.document.accounts ?? []
+  return { fleet, byAccount, weights: new Map(accounts.map(({ name, weight = DEFAULT_WEIGHT }) => [name, weight])) }
 }
 
 function addUsage (usage: Map<string, AccountUsage>, account: string, { used, overdue }: AccountUsage): void {
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -84,7 +84,7 @@
     const unplaceable = new Set<string>()
     /** Gangs of one priority that yield to others of it, because starting them would use up the reserve for urgent work. */
     let deferred: WaitingGang[] = []
-    const shares = AccountShares.measure(this.state)
+    const shares = AccountShares.of(this.state)
     const startDeferred = (): void => {
       const order = this.policy.orderOf(deferred, shares, this.view)
       for (const gang of order.gangs()) if (this.startOrPreempt(gang, unplaceable)) order.recordStart(gang)
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -45,7 +45,7 @@
  */
 export function explainWaiting (state: StepState, view: PlacementConstraints & { readonly now: number }): ExplainedGang[] {
   const capacity = FreeCapacity.measure(state.incarnations.values())
-  const shares = AccountShares.measure(state)
+  const shares = AccountShares.of(state)
   const explained = new Map<string, ExplainedGang>()
   for (const waiting of waitingGangs(state, guaranteedJobs(state), view.now)) {
     const { key, job: { account, acceptedAt }, queue: { priority } } = waiting
