Limit what misbehaving clients can take of a process

Unfinished bodies, bodies far over the limit, chunks of one byte, bodies of many fields, requests pipelined without reading and idle connections took a process's memory or all of its descriptors.

The client endpoint then asks the leader with a SHOW of the same address, which resolves queue and key as SUBMIT does; hosts of an earlier version know it. - excessOf counts the values of a JSON text before they are parsed. The document's limits are in force at the client endpoint: the leader adds the number of the queue document to its confirmation to entries, once a second, and an entry reads the document when the number changes.

--- a/src/client/queue-client.ts
+++ b/src/client/queue-client.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { jobOfPath } from '../core/steps/routing'
 import type { QueueDocument, StepJobSpecification, StepJobState } from '../core/steps/index'
-import type { Refusal } from '../core/verdict'
+import { RefusalCode, type Refusal } from '../core/verdict'
 import type { LogFields } from '../logging'
 import { ControlService, operationNames, QueueOperation, type QueueReply, type QueueRequest } from '../wire/index'
 import { ConfirmedCalls, type CallTimeouts } from './confirmed-calls'
@@ -97,6 +97,18 @@
     return await this.send(call, { host, path, keyDigest: digestOf(key), queue: '', account: '' })
   }
 
+  /**
+   * Asks the leader whether a request may be made at its address, before the job is received: whether there is such a
+   * queue, and whether the key belongs to an account.
+   * @param address - host, path and key of the request, and how long the caller waits
+   * @returns the refusal; undefined where the job may be submitted
+   */
+  async checkAddress (address: Omit<QueueCall, 'operation' | 'job'>): Promise<Refusal | undefined> {
+    // The leader resolves the address of any operation in the same way, and hosts of an earlier version know this one.
+    const answer = await this.callByAddress({ ...address, operation: QueueOperation.SHOW })
+    return answer.isErr() && answer.error.code !== RefusalCode.NotFound ? answer.error : undefined
+  }
+
   /**
    * Sends a request to a queue by the queue's name.
    * @param call - the request
--- a/src/command/deployed-roles.ts
+++ b/src/command/deployed-roles.ts
@@ -1,5 +1,6 @@
 /** The roles as run by the users' platform: each also serves the platform's HTTP API. */
 import type { EntryHost } from '../entry/index'
+import type { HttpLimits } from '../http/index'
 import { createLogger } from '../logging'
 import { Role, controlAddressOf, controlHostsOf, type DeploymentSettings, type Settings, type TlsFiles } from '../settings/index'
 import { createEventLog, startControl, startEntryHost, type RunningRole, type StartRole } from './roles'
@@ -19,19 +20,24 @@
 }
 
 /** Starts the HTTP server for clients first, so that clients get answers while the rest of the entry is still loading. */
-async function startDeployedEntry (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+async function startDeployedEntry (settings: Settings, tls: TlsFiles | undefined, limits: HttpLimits): Promise<RunningRole> {
   const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { ClientServer } = await import('../../platform/client-api')
+  const { DocumentLimits } = await import('../../platform/document-limits')
   const deployment = deploymentOf(settings)
   const connection = connectControl(KnownHosts.createAtRandom(settings.controlHosts), createLogger(Role.Entry, settings.logLevel), tls)
   const started: { host?: EntryHost } = {}
+  const queues = QueueClient.create(connection.leader)
+  const documentLimits = DocumentLimits.create(queues)
   const server = await ClientServer.open({
     address: requiredAddress('clients', deployment),
     readinessAddress: requiredAddress('readiness', deployment),
-    queues: QueueClient.create(connection.leader),
+    limits,
+    requestLimits: () => documentLimits.inForce,
+    queues,
     ready: () => started.host?.ready === true
   })
-  const entry = await startEntryHost(settings, tls, connection)
+  const entry = await startEntryHost(settings, tls, { connection, limits, onDocumentNumber: (number) => { documentLimits.follow(number) } })
   started.host = entry.host
   return {
     role: Role.Entry,
@@ -67,12 +73,12 @@
 }
 
 /** A control host without a disk stores nothing; its HTTP server forwards operators' requests to the leader. */
-async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+async function startDeployedControl (settings: Settings, tls: TlsFiles | undefined, limits: HttpLimits): Promise<RunningRole> {
   const { connectControl, KnownHosts, QueueClient } = await import('../client/index')
   const { OperatorServer } = await import('../../platform/operator')
-  const control = settings.control === undefined ? await startDiskless(settings, tls) : await startControl(settings, tls)
+  const control = settings.control === undefined ? await startDiskless(settings, tls) : await startControl(settings, tls, limits)
   const { hosts, channels, leader } = connectControl(KnownHosts.createAtRandom(knownControlHosts(settings)), createLogger(Role.Control, settings.logLevel), tls)
-  const server = await OperatorServer.open({ address: requiredAddress('operators', deploymentOf(settings)), queues: QueueClient.create(leader) })
+  const server = await OperatorServer.open({ address: requiredAddress('operators', deploymentOf(settings)), limits, queues: QueueClient.create(leader) })
   return {
     role: Role.Control,
     stopDeadlineMilliseconds: control.stopDeadlineMilliseconds + SERVER_STOP_DEADLINE_MILLISECONDS,
@@ -85,7 +91,7 @@
   }
 }
 
-async function startSupervisor (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+async function startSupervisor (settings: Settings, tls: TlsFiles | undefined, limits: HttpLimits): Promise<RunningRole> {
   const { Supervisor } = await import('../agent/supervisor')
   const { KnownHosts } = await import('../client/known-hosts')
   const { WorkerClient, HeartbeatServer } = await import('../../platform/worker')
@@ -98,7 +104,7 @@
     credentials: mutualCredentials(tls).channelCredentials,
     log: createEventLog(createLogger(Role.Agent, settings.logLevel))
   })
-  const server = await HeartbeatServer.open(requiredAddress('workers', deploymentOf(settings)), supervisor)
+  const server = await HeartbeatServer.open(requiredAddress('workers', deploymentOf(settings)), limits, supervisor)
   supervisor.start()
   return {
     role: Role.Agent,
--- a/src/command/roles.ts
+++ b/src/command/roles.ts
@@ -1,8 +1,8 @@
 import { createLogger, type Logger } from '../logging'
 import { ExitCode } from './exit-code'
-import type { ControlConnection } from '../client/index'
 import type { ControlOptions } from '../control/index'
-import type { EntryHost } from '../entry/index'
+import type { EntryHost, EntryOptions } from '../entry/index'
+import type { HttpLimits } from '../http/index'
 import { maxRecordBytesOf, Role, type Settings, type TlsFiles } from '../settings/index'
 
 /** A role running in this process. */
@@ -21,7 +21,7 @@
 }
 
 /** Starts a role, and loads its modules only then; throws when the role cannot start. */
-export type StartRole = (settings: Settings, tls: TlsFiles | undefined) => Promise<RunningRole>
+export type StartRole = (settings: Settings, tls: TlsFiles | undefined, limits: HttpLimits) => Promise<RunningRole>
 
 const MILLISECONDS_PER_SECOND = 1_000
 /** Time allowed for a control host to transfer its leadership. */
@@ -52,15 +52,16 @@
  * Starts the control role.
  * @param settings - the settings of the process
  * @param tls - certificate files; undefined for connections without TLS
+ * @param limits - the limits of the process
  * @returns the running role
  */
-export async function startControl (settings: Settings, tls: TlsFiles | undefined): Promise<RunningRole> {
+export async function startControl (settings: Settings, tls: TlsFiles | undefined, limits: HttpLimits): Promise<RunningRole> {
   const { ControlHost } = await import('../control/index')
   const { mutualCredentials } = await import('./credentials')
   const { address, folder, voters, metrics: metricsAddress } = requiredSection(settings, Role.Control)
   const log = createEventLog(createLogger(Role.Control, settings.logLevel))
   const created = await ControlHost.create({
-    host: settings.host, address, folder, voters, metricsAddress, log, onFailure: exitOnStorageFailure, ...mutualCredentials(tls), ...deploymentOptions(settings)
+    host: settings.host, address, folder, voters, metricsAddress, limits, log, onFailure: exitOnStorageFailure, ...mutualCredentials(tls), ...deploymentOptions(settings)
   })
   if (created.isErr()) throw created.error
   const host = created.value
@@ -85,14 +86,14 @@
  * Starts an entry.
  * @param settings - the settings of the process
  * @param tls - certificate files; undefined for connections without TLS
- * @param connection - shared with other components of this process
+ * @param options - what is shared with other components of this process
  * @returns the running role and its entry
  */
-export async function startEntryHost (settings: Settings, tls: TlsFiles | undefined, connection?: ControlConnection): Promise<RunningRole & { readonly host: EntryHost }> {
+export async function startEntryHost (settings: Settings, tls: TlsFiles | undefined, options: Pick<EntryOptions, 'connection' | 'limits' | 'onDocumentNumber'>): Promise<RunningRole & { readonly host: EntryHost }> {
   const { EntryHost } = await import('../entry/index')
   const entry = requiredSection(settings, Role.Entry)
   const logger = createLogger(Role.Entry, settings.logLevel)
-  const host = EntryHost.create({ host: settings.host, settings: entry, controlHosts: settings.controlHosts, tls, logger, connection })
+  const host = EntryHost.create({ host: settings.host, settings: entry, controlHosts: settings.controlHosts, tls, logger, ...options })
   await host.start()
   return {
     host,
@@ -130,7 +131,7 @@
 /** Start function of each role. */
 export const startRole: Readonly<Record<Role, StartRole>> = {
   [Role.Control]: startControl,
-  [Role.Entry]: async (settings, tls) => await startEntryHost(settings, tls),
+  [Role.Entry]: async (settings, tls, limits) => await startEntryHost(settings, tls, { limits }),
   [Role.Agent]: startAgent
 }
 
--- a/src/command/serve.ts
+++ b/src/command/serve.ts
@@ -48,6 +48,9 @@
 /** Environment variable with the path of the settings file, used when the command line has none. */
 const SETTINGS_VARIABLE = 'BRAMLEYFLOW_CONFIG'
 
+/** The role in log lines that are about all roles of the process. */
+const PROCESS = 'process'
+
 const stopSignals = ['SIGTERM', 'SIGINT'] as const
 
 /** Time beyond a role's stop deadline for closing its sockets and files. */
@@ -119,9 +122,12 @@
 async function startRoles (settings: Settings, running: RunningRole[]): Promise<void> {
   const { readTls } = await import('../settings/index')
   const { startOrder, startRole } = await import('./roles')
+  const { HttpLimits } = await import('../http/index')
+  const { createLogger } = await import('../logging')
   const tls = await readTls(settings.tls)
+  const limits = HttpLimits.create(settings.deployment ?? {}, createLogger(PROCESS, settings.logLevel))
   const start = settings.deployment === undefined ? startRole : (await import('./deployed-roles')).startDeployedRole
   for (const role of startOrder) {
-    if (settings.roles.includes(role)) running.push(await start[role](settings, tls))
+    if (settings.roles.includes(role)) running.push(await start[role](settings, tls, limits))
   }
 }
--- a/src/control/agents.ts
+++ b/src/control/agents.ts
@@ -303,7 +303,8 @@
       whole: false,
       validMilliseconds: AGENT_LEASE_MILLISECONDS,
       refusal: undefined,
-      controlHosts: []
+      controlHosts: [],
+      documentNumber: 0
     }
   }
 
--- a/src/control/configuration-followers.ts
+++ b/src/control/configuration-followers.ts
@@ -66,7 +66,7 @@
   }
 
   private update (changed: readonly Section[], full: boolean): wire.ConfigurationUpdate {
-    const { number, document, sectionNumbers } = this.committed().configuration
+    const { configuration: { number, document, sectionNumbers }, steps } = this.committed()
     const sections = allSections.map((section) => ({ section, number: sectionNumbers.get(section) ?? 0 }))
     const content = Object.fromEntries(changed.map((section) => [section, document[section]]))
     return {
@@ -77,7 +77,8 @@
       whole: full,
       validMilliseconds: COPY_VALID_MILLISECONDS,
       refusal: undefined,
-      controlHosts: this.controlHosts()
+      controlHosts: this.controlHosts(),
+      documentNumber: steps.document?.number ?? 0
     }
   }
 }
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -11,6 +11,7 @@
 import { CONFIRM_INTERVAL_MILLISECONDS, ConfigurationFollowers, type ConfigurationCall } from './configuration-followers'
 import { LeaderClock } from './leader-clock'
 import { Machine, recordLines } from './machine'
+import { HttpLimits } from '../http/index'
 import { ControlMetrics } from './metrics'
 import { claimDataFolder } from './owner'
 import { RecordStore } from './record-store'
@@ -34,6 +35,8 @@
   readonly channelCredentials?: grpc.ChannelCredentials
   /** IP address and port at which /metrics is served; not served by default. */
   readonly metricsAddress?: string
+  /** The limits of the process; its own by default. */
+  readonly limits?: HttpLimits
   /** See {@link ReplicaOptions.founding}. */
   readonly founding?: boolean
   /** Number of voters to maintain, derived from how many hosts may be lost at once; without it, operators add and remove voters. */
@@ -191,9 +194,9 @@
     })
     if (replica.isErr()) return err(new Error(replica.error.message))
     host.replica = replica.value
-    const { metricsAddress } = options
+    const { metricsAddress, limits = HttpLimits.create({}, { warn: (event, fields = {}) => { options.log(event, fields) } }) } = options
     if (metricsAddress !== undefined) {
-      try { await host.metrics.listen(metricsAddress) } catch (error) { return err(new Error(`metrics address ${metricsAddress} cannot be used: ${(error as Error).message}`)) }
+      try { await host.metrics.listen(metricsAddress, limits) } catch (error) { return err(new Error(`metrics address ${metricsAddress} cannot be used: ${(error as Error).message}`)) }
     }
     return await host.bind()
   }
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -1,5 +1,7 @@
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { HttpLimits, RequestLimits } from '../http/index'
+import { registerLimitMetrics } from '../http/limit-metrics'
 
 /** Functions that return the values of the gauges when metrics are collected. */
 export interface ControlGauges {
@@ -19,6 +21,9 @@
 }
 
 const MILLISECONDS_PER_SECOND = 1_000
+/** Requests for metrics have no body. */
+const requestLimits: RequestLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 0, headerTimeoutMilliseconds: 10_000, idleTimeoutMilliseconds: 60_000 }
+const CONNECTION_SHARE = 0.1
 const FIRST_START_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 30, 60]
 const COMMIT_BUCKETS_SECONDS = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1]
 
@@ -113,10 +118,11 @@
     this.termsLed.inc()
   }
 
-  /** Serves /metrics over HTTP at an address; rejects if the address cannot be bound. */
-  listen (address: string): Promise<void> {
+  /** Serves /metrics over HTTP at an address, within the limits of the process; rejects if the address cannot be bound. */
+  listen (address: string, limits: HttpLimits): Promise<void> {
     const separator = address.lastIndexOf(':')
-    this.server = createServer((incoming, outgoing) => {
+    registerLimitMetrics(this.registry, limits)
+    this.server = limits.guard({ endpoint: 'metrics', connectionShare: CONNECTION_SHARE, limits: () => requestLimits }).createServer((incoming, outgoing) => {
       if (incoming.url !== '/metrics') { outgoing.writeHead(404).end(); return }
       void this.registry.metrics().then((text) => { outgoing.writeHead(200, { 'content-type': this.registry.contentType }).end(text) })
     })
--- a/src/entry/configuration-follower.ts
+++ b/src/entry/configuration-follower.ts
@@ -20,6 +20,8 @@
   readonly channels: Channels
   readonly configuration: ConfigurationCopy
   readonly logger: Logger
+  /** Called with the number of the queue document at each update, 0 where it is not known. */
+  readonly onDocumentNumber?: ((number: number) => void) | undefined
 }
 
 /** Keeps the copy of the document up to date through one stream to the leader, which is reopened when it breaks or no update arrives in time. */
@@ -86,6 +88,7 @@
     }
     leader.noteConfirmation(address)
     this.context.hosts.updateFromLeader(update.controlHosts)
+    this.context.onDocumentNumber?.(update.documentNumber)
     this.restartUpdateTimer(update.validMilliseconds)
     if (configuration.number !== previousNumber) logger.info('configuration-in-force', { number: configuration.number })
     this.stream?.write(this.inForceMessage())
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -1,7 +1,8 @@
 import 'reflect-metadata'
 import { NestFactory } from '@nestjs/core'
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify'
-import type { FastifyInstance } from 'fastify'
+import type { FastifyInstance, FastifyRequest } from 'fastify'
+import type { RequestListener, Server } from 'node:http'
 import type { Logger } from '../logging'
 import { parseAddress, type EntrySettings, type TlsFiles } from '../settings/index'
 import { Authenticator } from './authenticator'
@@ -9,7 +10,8 @@
 import { connectControl, KnownHosts, type Channels, type ControlConnection, type LeaderClient } from '../client/index'
 import { ConfigurationCopy } from '../core/configuration-copy'
 import { parseJson } from '../core/json-text'
-import { notRunRefusal, RefusalCode } from '../core/verdict'
+import { notRunRefusal, RefusalCode, type Problem, type Refusal } from '../core/verdict'
+import { excessOf, HttpLimits, LimitKind, type BodyFailure, type FieldLimits, type RequestLimits, type ServerGuard } from '../http/index'
 import { ConfigurationFollower } from './configuration-follower'
 import { EntryModule } from './entry-module'
 import { FairLimiter } from './fair-limiter'
@@ -18,8 +20,14 @@
 import { RefusalError } from './refusal-answer'
 import { RefusalFilter } from './refusal-filter'
 
-/** Upper limit on any request body; the document sets the limit on submissions. */
-const MAX_BODY_BYTES = 4_194_304
+/** Upper limits on any request; the document sets the limit on submissions. */
+const requestLimits: RequestLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMilliseconds: 10_000, idleTimeoutMilliseconds: 72_000 }
+const fieldLimits: FieldLimits = { maxValues: 500_000, maxMembers: 400_000, maxDepth: 64 }
+/** Share of the connections of the process; less where another server of the process is the one for clients. */
+const CONNECTION_SHARE = 0.8
+const CONNECTION_SHARE_BESIDE_OTHERS = 0.15
+/** Time after which a caller may try again whose body was not received, in milliseconds. */
+const BODY_RETRY_AFTER_MILLISECONDS = 1_000
 /** Submissions in flight to control at the same time, over all accounts. */
 const MAX_CONCURRENT_SUBMISSIONS = 256
 /** Time allowed for the last answers to be sent after waiting callers were told to use another entry. */
@@ -33,6 +41,10 @@
   readonly controlHosts: readonly string[]
   readonly tls?: TlsFiles
   readonly logger: Logger
+  /** The limits of the process; its own by default. */
+  readonly limits?: HttpLimits
+  /** Called with the number of the queue document in force at each confirmation of a leader. */
+  readonly onDocumentNumber?: (number: number) => void
   /** Connections shared with other components of this process; new ones are opened by default. */
   readonly connection?: ControlConnection
 }
@@ -52,7 +64,7 @@
     this.channels = channels
     this.leader = leader
     this.follower = ConfigurationFollower.create({
-      entry: options.host, hosts, leader: this.leader, channels: this.channels, configuration: this.configuration, logger: options.logger
+      entry: options.host, hosts, leader: this.leader, channels: this.channels, configuration: this.configuration, logger: options.logger, onDocumentNumber: options.onDocumentNumber
     })
   }
 
@@ -105,19 +117,21 @@
   }
 
   private async createApplication (): Promise<NestFastifyApplication> {
-    const { settings, logger, tls } = this.options
+    const { settings, logger, tls, connection, limits = HttpLimits.create({}, logger) } = this.options
+    const connectionShare = connection === undefined ? CONNECTION_SHARE : CONNECTION_SHARE_BESIDE_OTHERS
+    const guard = limits.guard({ endpoint: 'api', connectionShare, limits: () => requestLimits })
     const limiter = FairLimiter.create({ maxOpenRequestsPerAccount: settings.openRequestsPerAccount, maxConcurrentSubmissions: MAX_CONCURRENT_SUBMISSIONS })
     const metrics = EntryMetrics.create({
       openRequests: () => this.openRequests.count,
       configurationNumber: () => this.configuration.number,
       configurationConfirmed: () => this.configuration.isConfirmed(Date.now())
-    })
+    }, limits)
     const { configuration, openRequests, leader } = this
     const application = await NestFactory.create<NestFastifyApplication>(
-      EntryModule.of({ configuration, limiter, leader, metrics, openRequests }), createAdapter(tls), { logger: false, abortOnError: false, bodyParser: false })
+      EntryModule.of({ configuration, limiter, leader, metrics, openRequests }), createAdapter(guard, tls), { logger: false, abortOnError: false, bodyParser: false })
     const authenticator = Authenticator.create(settings.bootstrapTokenDigest)
     const server = application.getHttpAdapter().getInstance() as unknown as FastifyInstance
-    rejectDuplicateFields(server)
+    readJsonBodies(server, guard)
     addAdmission(server, { authenticator, configuration, limiter, metrics, openRequests })
     application.useGlobalFilters(new RefusalFilter(logger))
     await application.init()
@@ -126,17 +140,32 @@
 }
 
 /** Replaces Fastify's JSON parser, which silently keeps the last of several fields with the same name. */
-function rejectDuplicateFields (server: FastifyInstance): void {
+function readJsonBodies (server: FastifyInstance, guard: ServerGuard): void {
   server.removeContentTypeParser('application/json')
-  server.addContentTypeParser('application/json', { parseAs: 'string', bodyLimit: MAX_BODY_BYTES }, (_request, body, done) => {
-    parseJson(body as string).match(
-      (value) => { done(null, value) },
-      (problems) => { done(new RefusalError(notRunRefusal(RefusalCode.BadRequest, 'the body cannot be read', 0, problems))) })
+  server.addContentTypeParser('application/json', async (request: FastifyRequest) => {
+    const received = await guard.readBody(request.raw)
+    if (received.isErr()) throw new RefusalError(refusalOfBody(received.error))
+    const excess = excessOf(received.value, fieldLimits)
+    if (excess !== undefined) {
+      guard.count(LimitKind.BodyFields)
+      throw unreadableBody([{ path: '', value: 'the body', expected: excess }])
+    }
+    return parseJson(Buffer.from(received.value).toString()).match((value) => value, (problems) => { throw unreadableBody(problems) })
   })
 }
 
-function createAdapter (tls: TlsFiles | undefined): FastifyAdapter {
-  const options = { bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true, return503OnClosing: false, logger: false }
-  if (tls === undefined) return new FastifyAdapter(options)
-  return new FastifyAdapter({ ...options, https: { cert: tls.certificate, key: tls.key } })
+function unreadableBody (problems: Problem[]): RefusalError {
+  return new RefusalError(notRunRefusal(RefusalCode.BadRequest, 'the body cannot be read', 0, problems))
+}
+
+/** A request whose body was not received completely never ran. */
+function refusalOfBody ({ status, message }: BodyFailure): Refusal {
+  if (status === 413) return notRunRefusal(RefusalCode.TooLarge, message, 0, [{ path: '', value: 'the body', expected: 'a smaller body' }])
+  return notRunRefusal(RefusalCode.Unavailable, message, BODY_RETRY_AFTER_MILLISECONDS)
+}
+
+function createAdapter (guard: ServerGuard, tls: TlsFiles | undefined): FastifyAdapter {
+  const tlsOptions = tls === undefined ? undefined : { cert: tls.certificate, key: tls.key }
+  const serverFactory = (handler: RequestListener): Server => guard.createServer(handler, tlsOptions)
+  return new FastifyAdapter({ serverFactory, forceCloseConnections: true, return503OnClosing: false, logger: false })
 }
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { HttpLimits } from '../http/index'
+import { registerLimitMetrics } from '../http/limit-metrics'
 import type { Principal } from './authenticator'
 import { PrincipalKind } from './authenticator'
 
@@ -31,7 +33,8 @@
     name: 'bramleyflow_entry_resends_total', help: 'Requests sent again to control after a break', registers: [this.registry]
   })
 
-  private constructor (gauges: EntryGauges) {
+  private constructor (gauges: EntryGauges, limits: HttpLimits) {
+    registerLimitMetrics(this.registry, limits)
     collectDefaultMetrics({ register: this.registry })
     this.gauge('bramleyflow_entry_open_requests', 'Requests open now', gauges.openRequests)
     this.gauge('bramleyflow_entry_configuration_number', 'Number of the document in force', gauges.configurationNumber)
@@ -41,10 +44,11 @@
   /**
    * Creates the metrics.
    * @param gauges - values that are read at each collection
+   * @param limits - the limits of the process
    * @returns the metrics
    */
-  static create (gauges: EntryGauges): EntryMetrics {
-    return new EntryMetrics(gauges)
+  static create (gauges: EntryGauges, limits: HttpLimits): EntryMetrics {
+    return new EntryMetrics(gauges, limits)
   }
 
   /**
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,6 @@
+export type { BodyFailure } from './body-collector'
+export { excessOf, type FieldLimits } from './field-scan'
+export { HttpLimits, type ProcessSize } from './http-limits'
+export type { LimitCount } from './limit-log'
+export { LimitKind, type RequestLimits } from './limits'
+export type { ServerGuard } from './server-guard'
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -85,6 +85,8 @@
   founding: Type.Boolean({ description: 'true when the whole system starts for the first time' }),
   folder: Type.Optional(Type.String({ minLength: 1, description: 'the data folder; absent on a host without a disk' })),
   folderMegabytes: Type.Integer({ minimum: 0, default: 0, description: 'size of the disk; 0 if unknown' }),
+  memoryMegabytes: Type.Optional(Type.Integer({ minimum: 16, maximum: 4_194_304, description: 'memory of this host; the limits on clients are derived from it' })),
+  descriptors: Type.Optional(Type.Integer({ minimum: 64, maximum: 10_000_000, description: 'files and connections that this process may have open; the limits on clients are derived from it' })),
   hostsLostAtOnce: Type.Integer({ minimum: 0, maximum: 3, default: 1, description: 'number of control hosts that may fail at the same time' }),
   workerLeaseMilliseconds: Type.Integer({ minimum: 500, maximum: 600_000, default: 6_000, description: 'maximum lease that a worker grants to its runs' }),
   workerStopMilliseconds: Type.Integer({ minimum: 0, maximum: 60_000, default: 1_000, description: 'longest time that a worker takes to end a run' }),
--- a/test/deploy-template.test.ts
+++ b/test/deploy-template.test.ts
@@ -27,7 +27,7 @@
 }
 
 const common = {
-  node_id: 'frontend-a-1', zone: 'a', region: 'r', ip: '10.1.0.19', port_range: [7000, 7015], seeds: ['10.1.0.19:8526', '10.3.0.15:8526', '10.2.0.35:8526'], bootstrap: true, limits: { disk_mb: 128 }, fault_tolerance: { machines: 1 }, bounds: { hold_max_ms: 10_000, stop_ms: 400, grace_s: 6 }
+  node_id: 'frontend-a-1', zone: 'a', region: 'r', ip: '10.1.0.19', port_range: [7000, 7015], seeds: ['10.1.0.19:8526', '10.3.0.15:8526', '10.2.0.35:8526'], bootstrap: true, limits: { disk_mb: 128, memory_mb: 210, max_fds: 2_212 }, fault_tolerance: { machines: 1 }, bounds: { hold_max_ms: 10_000, stop_ms: 400, grace_s: 6 }
 }
 
 const roles: Readonly<Record<string, Fields>> = {
--- a/test/misbehaving/deployed-system.ts
+++ b/test/misbehaving/deployed-system.ts
@@ -23,6 +23,8 @@
 
 /** The heap of the smallest host's processes is larger; a smaller one shows the same failures with smaller crowds. */
 const HEAP_FLAGS = ['--max-old-space-size=64', '--max-semi-space-size=2']
+/** Memory of the host in the settings, which lowers the limits as the heap is lower. */
+const MEMORY_MEGABYTES = 96
 /** Open files allowed to each process. */
 const MAX_DESCRIPTORS = 512
 /** Another build than the current one shows which tests fail on it. */
@@ -127,7 +129,7 @@
       entry: { clients: address('clients'), readiness: address('readiness') },
       agent: { workers: address('workers') }
     }
-    const deployment = { ip, innerPorts: [7_000, 7_015], seeds: [address('operators')], founding: true, hostsLostAtOnce: 0, ...fields[role] }
+    const deployment = { ip, innerPorts: [7_000, 7_015], seeds: [address('operators')], founding: true, hostsLostAtOnce: 0, memoryMegabytes: MEMORY_MEGABYTES, descriptors: MAX_DESCRIPTORS, ...fields[role] }
     const settings = join(folder, `${role}.json`)
     writeFileSync(settings, JSON.stringify({ host: role, roles: [role], region: 'r', dataCentre: 'a', logLevel: 'warn', deployment }))
     const command = [process.execPath, ...HEAP_FLAGS, PROGRAM, 'serve', '--settings', settings]
--- a/test/platform-boundary.test.ts
+++ b/test/platform-boundary.test.ts
@@ -49,6 +49,7 @@
       "../src/core/steps/index",
       "../src/core/steps/run",
       "../src/core/verdict",
+      "../src/http/index",
     ]
   `)
 })
--- a/test/platform-fixture.ts
+++ b/test/platform-fixture.ts
@@ -5,7 +5,8 @@
 import { Supervisor } from '../src/agent'
 import { Channels, KnownHosts, LeaderClient, QueueClient } from '../src/client'
 import { ControlHost } from '../src/control'
-import { ClientServer, OperatorServer, WorkerClient, HeartbeatServer } from '../platform'
+import { HttpLimits } from '../src/http'
+import { ClientServer, DocumentLimits, OperatorServer, WorkerClient, HeartbeatServer } from '../platform'
 import { WorkerStandIn } from '../stand-ins'
 
 const silent = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} }
@@ -45,10 +46,12 @@
     host.start()
     const channels = Channels.create()
     const queues = QueueClient.create(LeaderClient.create(KnownHosts.create([control]), channels, silent))
-    const client = await ClientServer.open({ address: clients, readinessAddress: readiness, queues, ready: () => true })
-    const operator = await OperatorServer.open({ address: operators, queues })
+    const limits = HttpLimits.create({}, silent)
+    const documentLimits = DocumentLimits.create(queues)
+    const client = await ClientServer.open({ address: clients, readinessAddress: readiness, limits, requestLimits: () => documentLimits.inForce, queues, ready: () => true })
+    const operator = await OperatorServer.open({ address: operators, limits, queues })
     const supervisor = Supervisor.create({ host: 'side', hosts: KnownHosts.create([control]), worker: WorkerClient.create(), log: () => {} })
-    const heartbeatServer = await HeartbeatServer.open(workers, supervisor)
+    const heartbeatServer = await HeartbeatServer.open(workers, limits, supervisor)
     supervisor.start()
     const worker = await WorkerStandIn.create('i-1')
     return new PlatformFixture(folder, worker, clients, operators, workers, [
--- a/test/queue-api.test.ts
+++ b/test/queue-api.test.ts
@@ -9,6 +9,7 @@
 import { KnownHosts } from '../src/client'
 import { ControlHost } from '../src/control'
 import { EntryHost } from '../src/entry/index'
+import { HttpLimits } from '../src/http'
 import { createLogger } from '../src/logging'
 import { WorkerClient, HeartbeatServer } from '../platform'
 import { WorkerStandIn } from '../stand-ins'
@@ -49,7 +50,7 @@
   const host = (await ControlHost.create({ host: 'control', address: control, folder, voters: [control], log: () => {} }))._unsafeUnwrap()
   host.start()
   const supervisor = Supervisor.create({ host: 'side', hosts: KnownHosts.create([control]), worker: WorkerClient.create(), log: () => {} })
-  const server = await HeartbeatServer.open(workers, supervisor)
+  const server = await HeartbeatServer.open(workers, HttpLimits.create({}, createLogger('agent', 'silent')), supervisor)
   supervisor.start()
   const worker = await WorkerStandIn.create('i-1')
   entry = EntryHost.create({
