--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -40,6 +40,16 @@
   expect(fixture.worker.observations.starts).toEqual([])
 })
 
+test('a large body without a queue or a known key gets the status of its refusal unread, and one over the limit gets 413', async () => {
+  const large = { ...job('20'), note: 'x'.repeat(200_000) }
+  expect((await fixture.call('POST', '00000000000000b2', large, { authorization: 'Token other' })).status).toBe(401)
+  expect((await fixture.call('POST', '00000000000000b2', large, undefined, 'other.example')).status).toBe(404)
+  expect((await fixture.call('POST', '00000000000000b2', { ...job('20'), note: 'x'.repeat(300_000) })).status).toBe(413)
+  expect((await fixture.call('POST', '00000000000000b2', { ...job('20'), phases: Array.from({ length: 257 }, () => ({ count: 1 })) })).status).toBe(400)
+  expect((await fixture.call('POST', '00000000000000b2', large)).status).toBe(200)
+  expect(fixture.worker.observations.starts.length).toBeLessThanOrEqual(1)
+})
+
 test('a job that fails is tried no more often than its queue allows', async () => {
   await fixture.call('POST', '00000000000000c1', job('fail'))
   await until(async () => await state('00000000000000c1') === 'failed')
