--- a/test/evacuation-failures.test.ts
+++ b/test/evacuation-failures.test.ts
@@ -202,7 +202,7 @@
   const port = await freePort()
   const requests: HttpRequest[] = []
   let answer = (): void => {}
-  const server = await HttpServer.open(`127.0.0.1:${port}`, async (request) => {
+  const server = await HttpServer.open({ endpoint: 'operators', address: `127.0.0.1:${port}`, limits: HttpLimits.create({}, silent), fieldLimits, takesBody: () => false }, async (request) => {
     requests.push(request)
     await new Promise<void>((resolve) => { answer = resolve })
     return { status: 200 }
