Repeat heartbeats in the platform fixture; record the results of the review's cases

A worker whose clock stands still is lost with its lease, so the fixture, which sent one heartbeat only, repeats the last accepted one as workers do.

--- a/test/platform-fixture.ts
+++ b/test/platform-fixture.ts
@@ -56,7 +56,10 @@
     ])
   }
 
+  private heartbeats?: NodeJS.Timeout
+
   async close (): Promise<void> {
+    clearInterval(this.heartbeats)
     for (const close of this.cleanups) await close()
   }
 
@@ -70,7 +73,13 @@
   }
 
   async sendHeartbeat (fields: object = {}, worker = this.worker): Promise<number> {
-    return (await send(`http://${this.workerAddress}/instances/${worker.name}/heartbeat`, 'POST', worker.heartbeat(fields), {})).status
+    const beat = async (): Promise<number> => (await send(`http://${this.workerAddress}/instances/${worker.name}/heartbeat`, 'POST', worker.heartbeat(fields), {})).status
+    const status = await beat()
+    if (status !== 200 || worker !== this.worker) return status
+    // A worker repeats its heartbeat: one whose clock stands still is lost with its lease.
+    clearInterval(this.heartbeats)
+    this.heartbeats = setInterval(() => { void beat().catch(() => {}) }, 700)
+    return status
   }
 }
 
