--- a/test/evacuation-failures.test.ts
+++ b/test/evacuation-failures.test.ts
@@ -9,6 +9,7 @@
 import { Channels, EvacuationClient, KnownHosts, LeaderClient } from '../src/client'
 import { changeEvacuation, listEvacuations, type EvacuationContext } from '../src/control/evacuation-calls'
 import { evacuationCount, isEvacuated, notRunRefusal, RefusalCode, StepTransactionKind, Verdict, type Transaction } from '../src/core/index'
+import { HttpLimits } from '../src/http/index'
 import { ConfirmReply, ControlService, EvacuationList, EvacuationReply } from '../src/wire'
 import { HttpServer, type HttpRequest } from '../platform/http-server'
 import { freePort } from './platform-fixture'
@@ -202,7 +203,7 @@
   const port = await freePort()
   const requests: HttpRequest[] = []
   let answer = (): void => {}
-  const server = await HttpServer.open({ endpoint: 'operators', address: `127.0.0.1:${port}`, limits: HttpLimits.create({}, silent), fieldLimits, takesBody: () => false }, async (request) => {
+  const server = await HttpServer.open({ endpoint: 'operators', address: `127.0.0.1:${port}`, limits: HttpLimits.create({}, silentLogger), fieldLimits: { maxValues: 100, maxMembers: 100, maxDepth: 8 }, takesBody: () => false }, async (request) => {
     requests.push(request)
     await new Promise<void>((resolve) => { answer = resolve })
     return { status: 200 }
--- a/test/platform-fixture.ts
+++ b/test/platform-fixture.ts
@@ -61,8 +61,10 @@
   }
 
   private heartbeats?: NodeJS.Timeout
+  private closing = false
 
   async close (): Promise<void> {
+    this.closing = true
     clearInterval(this.heartbeats)
     for (const close of this.cleanups) await close()
   }
@@ -82,7 +84,7 @@
     if (status !== 200 || worker !== this.worker) return status
     // A worker repeats its heartbeat: one whose clock stands still is lost with its lease.
     clearInterval(this.heartbeats)
-    this.heartbeats = setInterval(() => { void beat().catch(() => {}) }, 700)
+    this.heartbeats = setInterval(() => { void beat().catch((error: Error) => { if (!this.closing) throw error }) }, 700)
     return status
   }
 }
