Keep work in its rack and beside its data when it avoids slow workers

The preference by pace now orders the groups of one level, and the levels (the racks, then all workers) keep their order.

--- a/src/core/steps/pace-preference.ts
+++ b/src/core/steps/pace-preference.ts
@@ -34,13 +34,18 @@
 
   /**
    * Orders groups of workers by preference. Members of a gang progress at the pace of the slowest, so workers of the same
-   * pace are preferred to a mixture.
+   * pace are preferred to a mixture. The levels keep their order: work away from its rack or its data takes longer than on a
+   * slow worker.
    * @param waiting - the gang
-   * @param groups - the groups of workers, in order of preference by their racks
+   * @param levels - groups of workers by level, the preferred level first
    * @param now - milliseconds since the epoch
    * @returns the parts of the groups to try, in order
    */
-  order (waiting: WaitingGang, groups: readonly WorkerIncarnation[][], now: number): WorkerIncarnation[][] {
+  order (waiting: WaitingGang, levels: ReadonlyArray<readonly WorkerIncarnation[][]>, now: number): WorkerIncarnation[][] {
+    return levels.flatMap((groups) => this.orderLevel(waiting, groups, now))
+  }
+
+  private orderLevel (waiting: WaitingGang, groups: readonly WorkerIncarnation[][], now: number): WorkerIncarnation[][] {
     if (this.slow.size === 0) return [...groups]
     const usual = this.withoutSlow(groups)
     if (this.needsUsualPace(waiting, now)) return [...usual, ...groups]
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -138,12 +138,12 @@
     this.reservations ??= Reservations.create(this.state, this.view, this.freeCapacity)
     if (!this.reservations.mayReserve) return
     const workers = this.isolation.open(this.eligible(waiting))
-    this.reservations.reserve(waiting, this.pace.order(waiting, this.groups(waiting, workers), this.view.now), this.expectedCapacity)
+    this.reservations.reserve(waiting, this.pace.order(waiting, this.levels(waiting, workers), this.view.now), this.expectedCapacity)
   }
 
   /** For urgent work that would be late on a slow worker, stopping work that loses nothing on another worker is better than a start there. */
   private startOrPreemptAtUsualPace (gang: WaitingGang): boolean {
-    if (gang.queue.priority !== 0 || !this.pace.needsUsualPace(gang, this.view.now)) return false
+    if (gang.queue.priority !== 0 || !this.pace.needsUsualPace(gang, this.view.now) || this.maySpanRacks(gang)) return false
     const workers = this.pace.withoutSlow([this.eligible(gang)]).flat()
     return this.start(gang, workers) || this.preempt(gang, workers, (plan) => plan.victims.every(({ losesWork }) => !losesWork))
   }
@@ -191,7 +191,7 @@
 
   /** Tries the groups in order, each split by preference. */
   private place (waiting: WaitingGang, workers: readonly WorkerIncarnation[], split = (group: WorkerIncarnation[]) => [group]): TaskPlacement[] | undefined {
-    for (const group of this.pace.order(waiting, this.groups(waiting, workers), this.view.now).flatMap(split)) {
+    for (const group of this.pace.order(waiting, this.levels(waiting, workers), this.view.now).flatMap(split)) {
       const placements = this.placeWithin(waiting, group)
       if (placements !== undefined) return placements
     }
@@ -213,12 +213,12 @@
   }
 
   /** The racks, then all workers together where no rack could ever hold the gang or where it has waited too long for one. */
-  private groups (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): WorkerIncarnation[][] {
+  private levels (waiting: WaitingGang, workers: readonly WorkerIncarnation[]): WorkerIncarnation[][][] {
     const { step } = waiting
     const groups = rackGroups(step, workers)
-    if (groups.length <= 1 && step.dataRack === '') return groups
+    if (groups.length <= 1 && step.dataRack === '') return [groups]
     const neverFits = prefersOneRack(step) && !groups.some((group) => placeTasks(waiting.requirements, taskPositions(waiting), group, FreeCapacity.empty(group)) !== undefined)
-    return neverFits || this.maySpanRacks(waiting) ? [...groups, [...workers]] : groups
+    return neverFits || this.maySpanRacks(waiting) ? [groups, [[...workers]]] : [groups]
   }
 
   private maySpanRacks ({ step, job, guaranteed }: WaitingGang): boolean {
@@ -259,7 +259,7 @@
     if (!this.mayStopLowerWork(waiting)) return false
     const workers = this.isolation.open(eligible)
     const victims = victimsFor(this.state, waiting, this.guaranteed, this.view.now)
-    const plans = this.groups(waiting, workers)
+    const plans = this.levels(waiting, workers).flat()
       .map((group) => planPreemption(waiting, group, victims, this.expectedCapacity))
       .filter((plan): plan is PreemptionPlan => plan !== undefined && accepts(plan))
     const best = plans.sort((one, other) => one.cost - other.cost)[0]
--- a/test/wide-work.test.ts
+++ b/test/wide-work.test.ts
@@ -142,3 +142,14 @@
   fleet.submit('tight', [step({ estimateMilliseconds: 10_000 })])
   expect(startsWith(fleet, slowA)).toEqual(['tight on a'])
 })
+
+test('neither a gang that prefers one rack nor work beside its data leaves the rack to avoid a slow worker', () => {
+  const fleet = StepWorld.create([worker('a'), worker('b'), worker('c', { rack: 'r2' })])
+  fleet.submit('gang', [step({ tasks: 2, gang: true, sameRack: true, accelerators: 8, estimateMilliseconds: 1_000 })])
+  fleet.now += 5_000
+  expect(startsWith(fleet, slowA)).toEqual(['gang on ab'])
+  const beside = StepWorld.create([worker('a'), worker('c', { rack: 'r2' })])
+  beside.submit('data', [step({ accelerators: 4, estimateMilliseconds: 1_000, dataRack: 'r1' })])
+  beside.now += 2_500
+  expect(startsWith(beside, slowA)).toEqual(['data on a'])
+})
