Do not follow a single odd reading of a worker's clock

test/odd-entries hung for 120 s once in the whole script: an answer with the clock was taken for the worker's clock, after which the real one seemed to stand still, so that the worker was taken for lost and got no work. Since a lease counts from the age of a clock reading, this lasted for ever.

A reading that leaps more than a minute ahead of the elapsed time counts only once the next one goes on from it.

--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -10,6 +10,7 @@
 import { WorkerReport, type PredecessorRuns, type StartOrder, type WorkerOrders } from '../wire'
 import { acknowledge, addRun, applyRunLists, emptyRunTable, endsToReport, removeRun, RunPhase, updateRun, type RunTable, type TrackedRun } from './run-table'
 import { ControlStream, type StreamProtocol } from './control-stream'
+import { recordClock, type FollowedClock } from './worker-clock'
 import { OrderOutcome, OrderRefusal, type OrderAnswer, type OrderContext, type PollRequest, type RunLists, type WorkerApi, type WorkerHeartbeat } from './worker-api'
 
 /** Interval of reports while nothing changes, in milliseconds. */
@@ -52,7 +53,7 @@
 }
 
 /** The current incarnation of the worker. */
-interface TrackedIncarnation {
+interface TrackedIncarnation extends FollowedClock {
   /** The first heartbeat of the incarnation. */
   readonly heartbeat: WorkerHeartbeat
   /** Capacity in the newest heartbeat. */
@@ -64,10 +65,6 @@
   leaving: boolean
   /** Until when a leaving worker stays at least, in monotonic milliseconds; absent where it does not state it. */
   leavesAt?: number
-  /** Highest value seen of the worker's own clock, in milliseconds. */
-  clock: number
-  /** When that value was read, in monotonic milliseconds. */
-  clockReadAt: number
   /** End of the lease on that clock, 0 before the first grant. */
   leaseUntil: number
   table: RunTable
@@ -163,7 +160,7 @@
     const { current } = this
     if (current === undefined) { this.beginIncarnation(heartbeat); return }
     if (current.heartbeat.incarnation !== heartbeat.incarnation) { void this.checkSuccessor(current, heartbeat); return }
-    recordClock(current, heartbeat.clock)
+    recordClock(current, heartbeat.clock, performance.now())
     this.updateFromHeartbeat(current, heartbeat)
     if (!heartbeat.leaving || current.leaving) return
     current.leaving = true
@@ -428,7 +425,7 @@
   }
 
   private handleAnswer (tracked: TrackedIncarnation, { outcome, clock }: OrderAnswer): void {
-    recordClock(tracked, clock)
+    recordClock(tracked, clock, performance.now())
     if (unansweredOutcomes.has(outcome)) tracked.verified = false
   }
 
@@ -456,7 +453,7 @@
     if (typeof lists === 'string') { tracked.verified = false; await this.waitForWake(RETRY_MILLISECONDS); return }
     tracked.verified = true
     if (verified) tracked.polledAcknowledged = acknowledged
-    recordClock(tracked, lists.clock)
+    recordClock(tracked, lists.clock, performance.now())
     const before = tracked.table
     tracked.table = applyRunLists(before, lists, confirmedStops)
     this.resumeStops(tracked)
@@ -487,12 +484,6 @@
   return remainingMilliseconds === undefined ? undefined : performance.now() + remainingMilliseconds
 }
 
-function recordClock (tracked: TrackedIncarnation, clock: number): void {
-  if (clock <= tracked.clock) return
-  tracked.clock = clock
-  tracked.clockReadAt = performance.now()
-}
-
 /** A poll that only shows which incarnation answers. */
 const identityPoll: PollRequest = { acknowledged: 0, leaseUntil: 0, waitMilliseconds: 0 }
 
