Let gangs without checkpoints stop lower work only within the urgent reserve

A gang without checkpoints now stops lower work only while the reserve for urgent work admits it. A pace is known from four runs of three seconds at least, because reports are up to 0.7 s old and runs of one worker err together.

Measured: test/wide-work 10 passed (the new case fails on the code before), worker-pace and step-schedule pass.

--- a/src/core/steps/learning/worker-pace.ts
+++ b/src/core/steps/learning/worker-pace.ts
@@ -16,12 +16,12 @@
 
 /** Progress over which a run is measured, in percent, so that whole percents are precise enough. */
 const MEASURED_PERCENT = 10
-/** Shortest time over which a run is measured, in milliseconds; reports are up to a third of this old. */
-const MIN_MEASURED_MILLISECONDS = 2_000
+/** Shortest time over which a run is measured, in milliseconds; reports are up to a quarter of this old. */
+const MIN_MEASURED_MILLISECONDS = 3_000
 /** Workers on which tasks of a step must have been measured before they are compared. */
 const MIN_WORKERS_PER_STEP = 3
 /** Measured runs from which the pace of a worker is known. */
-const MIN_RUNS_PER_WORKER = 3
+const MIN_RUNS_PER_WORKER = 4
 /** Measured runs that are kept for each worker, and for each step. */
 const MAX_RUNS_KEPT = 32
 /** Steps that are kept for comparison; the oldest are forgotten first. */
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -148,9 +148,14 @@
     return this.start(gang, workers) || this.preempt(gang, workers, (plan) => plan.victims.every(({ losesWork }) => !losesWork))
   }
 
-  /** Gangs of several tasks would otherwise wait for as long as single tasks of lower priority take each place that becomes free. */
-  private mayStopLowerWork ({ queue, gang, job, step }: WaitingGang): boolean {
-    return queue.priority === 0 || (gang.size > 1 && this.view.now - job.acceptedAt > step.estimateMilliseconds * this.policy.maxWaitEstimates)
+  /**
+   * Gangs of several tasks would otherwise wait for as long as single tasks of lower priority take each place that becomes
+   * free. A gang without checkpoints does not replace work that urgent work can stop without a loss, unless enough of it is left.
+   */
+  private mayStopLowerWork (waiting: WaitingGang): boolean {
+    const { queue, gang, job, step } = waiting
+    if (queue.priority === 0) return true
+    return gang.size > 1 && this.view.now - job.acceptedAt > step.estimateMilliseconds * this.policy.maxWaitEstimates && this.reserve.admits(waiting)
   }
 
   private accelerators (): FleetAccelerators {
--- a/test/wide-work.test.ts
+++ b/test/wide-work.test.ts
@@ -113,6 +113,17 @@
   expect(fleet.world.lines.filter(({ text }) => text.includes('preempted'))).toEqual([])
 })
 
+test.each([[false, Infinity], [true, 1_200]])('while urgent work needs a reserve, a gang stops lower work only if it resumes from checkpoints itself: %s', (checkpoints, longestWait) => {
+  const fleet = new BusyFleet(4, stepPolicy, () => 5_000, true)
+  fleet.run(3_000)
+  fleet.world.submit('urgent', [step({ tasks: 2, gang: true, accelerators: 8, estimateMilliseconds: 20_000 })], 'urgent', 'one')
+  fleet.run(500)
+  fleet.world.submit('wide', [step({ ...wide, tasks: 2, checkpoints })])
+  const wait = fleet.waitOf('wide', 4_000)
+  expect(wait).toBe(checkpoints ? wait : Infinity)
+  expect(wait).toBeLessThanOrEqual(longestWait)
+})
+
 /** Runs one round with slow workers, and returns the starts in short form. */
 function startsWith (fleet: StepWorld, paces: ReadonlyMap<string, number>, policy = stepPolicy): string[] {
   const decisions = scheduleSteps(fleet.state.steps, { now: fleet.now, silent: new Set(), suspects: new Set(), progress: new Map(), complete: false, paces }, policy)
