Stop lower work for a gang only when it is about to miss its objective

Stops now begin when the gang would miss its objective if it waited for another half of its estimate.

--- a/src/core/steps/policy.ts
+++ b/src/core/steps/policy.ts
@@ -15,8 +15,8 @@
   readonly startsInTurn: (waiting: WaitingGang, reserve: UrgentReserve) => boolean
   /** The workers that are avoided or preferred for their pace, with that pace. */
   readonly slowWorkers: (paces: ReadonlyMap<string, number>) => ReadonlyMap<string, number>
-  /** How long a gang below the highest priority waits before it may stop lower work that loses nothing, as a multiple of its estimate. */
-  readonly maxWaitEstimates: number
+  /** Slack below which a gang that is not urgent may stop lower work that loses nothing, as a multiple of its estimate. */
+  readonly minSlackEstimates: number
   /** How long such a gang waits before it reserves workers, as a multiple of its estimate. */
   readonly reserveAfterEstimates: number
   /** Orders waiting gangs, which are listed without regard to their accounts. */
@@ -29,7 +29,7 @@
 export const stepPolicy: StepPolicy = {
   startsInTurn: (waiting, reserve) => reserve.admits(waiting),
   slowWorkers,
-  maxWaitEstimates: 0.5,
+  minSlackEstimates: 0.5,
   reserveAfterEstimates: 4,
   orderOf: (waiting, shares, view) => FairOrder.of(waiting, shares, view),
   interference: (findings) => findings
@@ -55,7 +55,7 @@
 const replacements: Readonly<Record<Mechanism, Partial<StepPolicy>>> = {
   [Mechanism.UrgentReserve]: { startsInTurn: () => true },
   [Mechanism.WorkerPace]: { slowWorkers: () => new Map() },
-  [Mechanism.WideWork]: { maxWaitEstimates: Infinity },
+  [Mechanism.WideWork]: { minSlackEstimates: -Infinity },
   [Mechanism.Reservations]: { reserveAfterEstimates: Infinity },
   [Mechanism.FairOrder]: { orderOf: (waiting) => ({ gangs: () => waiting, recordStart: () => {}, isDueNow: () => false }) },
   [Mechanism.Interference]: { interference: () => undefined }
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -6,7 +6,7 @@
 import { isEvacuated } from './evacuations'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import { addResources, StopReason, type StepJob, type StepSpecification, type WorkerIncarnation, type StepState } from './model'
-import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
+import { CompletionForecast, forecastAtPace, guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
 import type { InterferenceFindings } from './learning/interference-learner'
@@ -150,12 +150,14 @@
 
   /**
    * Gangs of several tasks would otherwise wait for as long as single tasks of lower priority take each place that becomes
-   * free. A gang without checkpoints does not replace work that urgent work can stop without a loss, unless enough of it is left.
+   * free. Stops begin only when such a gang is about to miss its objective. A gang without checkpoints does not replace work that urgent work can stop without a loss, unless enough of it is left.
    */
   private mayStopLowerWork (waiting: WaitingGang): boolean {
-    const { queue, gang, job, step } = waiting
+    const { queue, gang, step, forecast } = waiting
     if (queue.priority === 0) return true
-    return gang.size > 1 && this.view.now - job.acceptedAt > step.estimateMilliseconds * this.policy.maxWaitEstimates && this.reserve.admits(waiting)
+    if (gang.size === 1 || forecast === CompletionForecast.Worthless) return false
+    const latestStart = this.view.now + step.estimateMilliseconds * this.policy.minSlackEstimates
+    return forecastAtPace(waiting, latestStart, 1) !== CompletionForecast.OnTime && this.reserve.admits(waiting)
   }
 
   private accelerators (): FleetAccelerators {
