Log what a guarantee has for a waiting job, and how long an agent had no orders

Callers saw urgent work that came late. The logs could not tell why: a job beyond its account's guarantee was logged as "guarantee-used-up" whether the guarantee was used or idle, and an agent that found its way back to the leader of the same term logged nothing, so that the length of a partition was known only where it ended in a loss.

gang-waits now has, for urgent work, the accelerators guaranteed to the account, those that remain beside the covered jobs, and those that the job needs. control-found is logged after each loss, with the host that the agent is connected to and the time without orders. No decision changes.

--- a/src/agent/control-stream.ts
+++ b/src/agent/control-stream.ts
@@ -79,6 +79,11 @@
     return new ControlStream(hosts, protocol, listener, channelCredentials)
   }
 
+  /** The host of the open stream, undefined while there is none. */
+  get host (): string | undefined {
+    return this.connection?.host
+  }
+
   /** Dials the first host. */
   start (): void {
     this.running = true
--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -107,6 +107,10 @@
   private readonly checkedHeartbeats = new Map<string, WorkerHeartbeat>()
   private readonly stream: ControlStream<WorkerReport, WorkerOrders>
   private term = 0
+  /** Orders have come over the open stream. */
+  private connected = false
+  /** When the last orders came, in monotonic milliseconds; absent before the first. */
+  private ordersAt?: number
   private sequence = 0
   /** Sending times of the last reports by sequence number, in monotonic milliseconds. */
   private readonly reportSentAt = new Map<number, number>()
@@ -121,7 +125,10 @@
     this.stream = ControlStream.create(options.hosts, options.protocol ?? superviseProtocol, {
       opened: () => { this.report() },
       received: (orders) => { this.handleOrders(orders) },
-      closed: () => { options.log('control-lost', { term: this.term }) }
+      closed: () => {
+        this.connected = false
+        options.log('control-lost', { term: this.term })
+      }
     }, options.credentials)
   }
 
@@ -307,7 +314,9 @@
 
   private handleOrders (orders: WorkerOrders): void {
     if (orders.term < this.term) { this.stream.reconnect(); return }
-    if (orders.term > this.term) this.options.log('control-found', { term: orders.term })
+    if (!this.connected || orders.term > this.term) this.logControlFound(orders)
+    this.connected = true
+    this.ordersAt = performance.now()
     this.term = orders.term
     this.stream.confirmLeader()
     this.stream.setSilenceTimeout(SILENCE_TIMEOUT_MILLISECONDS)
@@ -324,6 +333,11 @@
     this.wakePoll?.()
   }
 
+  private logControlFound ({ term }: WorkerOrders): void {
+    const silent = this.ordersAt === undefined ? {} : { silentMilliseconds: Math.round(performance.now() - this.ordersAt) }
+    this.options.log('control-found', { term, host: this.stream.host, ...silent })
+  }
+
   private acceptStart (tracked: TrackedIncarnation, order: StartOrder): void {
     const { key } = order
     if (key === undefined || tracked.table.runs.has(runName(key))) return
--- a/src/control/decision-log.ts
+++ b/src/control/decision-log.ts
@@ -57,14 +57,14 @@
     const explained = explainWaiting(head.steps, view)
     const names = new Set<string>()
     let lines = 0
-    for (const { key: { job, step, gang }, account, priority, acceptedAt, reason, share } of explained) {
+    for (const { key: { job, step, gang }, account, priority, acceptedAt, reason, share, guarantee } of explained) {
       const name = `${job}.${step}`
       names.add(name)
       if (this.loggedReasons.get(name) === reason || lines === MAX_WAITING_LINES) continue
       lines += 1
       this.loggedReasons.set(name, reason)
       this.context.log('gang-waits', {
-        job, step, gang, account, share: Number(share.toFixed(3)), priority, reason, waitedMilliseconds: view.now - acceptedAt, document: head.steps.document?.number, term: this.context.term()
+        job, step, gang, account, share: Number(share.toFixed(3)), priority, reason, guarantee, waitedMilliseconds: view.now - acceptedAt, document: head.steps.document?.number, term: this.context.term()
       })
     }
     for (const name of this.loggedReasons.keys()) if (!names.has(name)) this.loggedReasons.delete(name)
--- a/src/core/steps/schedule.ts
+++ b/src/core/steps/schedule.ts
@@ -6,7 +6,7 @@
 import { isEvacuated } from './evacuations'
 import { eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import { addResources, StopReason, type StepJob, type StepSpecification, type WorkerIncarnation, type StepState } from './model'
-import { CompletionForecast, forecastAtPace, guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
+import { CompletionForecast, forecastAtPace, guaranteeCoverage, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { UrgentReserve, type FleetAccelerators } from './urgent-reserve'
 import { FreeCapacity, placeTasks, type WorkerCapacity } from './free-capacity'
 import type { InterferenceFindings } from './learning/interference-learner'
@@ -89,7 +89,7 @@
     this.freeCapacity = FreeCapacity.measure(state.incarnations.values(), (worker) => measureWorker(state, worker))
     this.expectedCapacity = this.freeCapacity.copy()
     releaseStopping(state, this.expectedCapacity)
-    this.guaranteed = guaranteedJobs(state)
+    this.guaranteed = guaranteeCoverage(state).jobs
     this.reserve = UrgentReserve.of(state, this.accelerators(), view.now)
     this.isolation = CrashIsolation.of(state, view)
     this.pace = PacePreference.of(policy.slowWorkers(view.paces ?? new Map()))
--- a/src/core/steps/waiting-gangs.ts
+++ b/src/core/steps/waiting-gangs.ts
@@ -49,7 +49,7 @@
  * work that is already late yields to work that can still meet its objective; otherwise one late job would make every job
  * after it late as well. Of a step with very many waiting gangs, only the first ones are listed, see {@link gangIndex}.
  * @param state - state of the step jobs
- * @param guaranteed - see {@link guaranteedJobs}
+ * @param guaranteed - see {@link guaranteeCoverage}
  * @param now - milliseconds since the epoch
  * @returns sorted by priority, where jobs without remaining value come last; then guaranteed jobs first; then by forecast, then by age
  */
@@ -153,22 +153,33 @@
   return Math.max(0, ...ends)
 }
 
+/** The jobs of priority 0 that the guarantees of their accounts cover, both waiting and running. */
+export interface GuaranteeCoverage {
+  /** Identifiers of the covered jobs. */
+  readonly jobs: ReadonlySet<string>
+  /** Accelerators guaranteed to each account. */
+  readonly guaranteed: ReadonlyMap<string, number>
+  /** Accelerators of each account's guarantee that covered jobs do not need. */
+  readonly remaining: ReadonlyMap<string, number>
+}
+
 /**
  * Finds the jobs of priority 0 that the guarantees of their accounts cover. Older jobs are covered first.
  * @param state - state of the step jobs
- * @returns identifiers of the covered jobs, both waiting and running
+ * @returns the coverage
  */
-export function guaranteedJobs (state: StepState): ReadonlySet<string> {
+export function guaranteeCoverage (state: StepState): GuaranteeCoverage {
   const accounts = state.document?.document.accounts ?? []
-  const remaining = new Map(accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
-  const covered = new Set<string>()
+  const guaranteed = new Map(accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
+  const remaining = new Map(guaranteed)
+  const jobs = new Set<string>()
   for (const job of urgentJobs(state)) {
     const after = (remaining.get(job.account) ?? 0) - initialAccelerators(job.specification)
     if (after < 0) continue
     remaining.set(job.account, after)
-    covered.add(job.identifier)
+    jobs.add(job.identifier)
   }
-  return covered
+  return { jobs, guaranteed, remaining }
 }
 
 function urgentJobs (state: StepState): StepJob[] {
--- a/src/core/steps/waiting-reason.ts
+++ b/src/core/steps/waiting-reason.ts
@@ -4,8 +4,9 @@
 import { heldBackWorkers, isEvacuated } from './evacuations'
 import { hasLabel, eligibleWorkers, prefersOneRack, rackGroups, type PlacementConstraints } from './eligible-workers'
 import type { WorkerIncarnation, StepState } from './model'
-import { guaranteedJobs, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
+import { guaranteeCoverage, taskPositions, waitingGangs, type WaitingGang } from './waiting-gangs'
 import { FreeCapacity, placeTasks } from './free-capacity'
+import { initialAccelerators } from './specification'
 import type { GangKey } from './transactions'
 
 /** Why a gang waits. */
@@ -31,6 +32,15 @@
   Returning = 'data-centre-returning'
 }
 
+/** What an account's guarantee has for a job, in accelerators. */
+export interface GuaranteeUse {
+  readonly guaranteed: number
+  /** Not needed by the jobs that the guarantee covers. */
+  readonly remaining: number
+  /** What the job needs at its start; not covered where this is more than what remains. */
+  readonly needed: number
+}
+
 /** A waiting gang with the reason for which it waits. */
 export interface ExplainedGang {
   readonly key: GangKey
@@ -40,6 +50,8 @@
   readonly reason: WaitingReason
   /** Dominant share of the account, by which accounts take turns. */
   readonly share: number
+  /** What the account's guarantee has for the job; absent for jobs of other priorities than 0. */
+  readonly guarantee?: GuaranteeUse
 }
 
 /**
@@ -52,10 +64,13 @@
   const capacity = FreeCapacity.measure(state.incarnations.values())
   const shares = AccountShares.of(state)
   const explained = new Map<string, ExplainedGang>()
-  for (const waiting of waitingGangs(state, guaranteedJobs(state), view.now)) {
-    const { key, job: { account, acceptedAt }, queue: { priority } } = waiting
+  const coverage = guaranteeCoverage(state)
+  for (const waiting of waitingGangs(state, coverage.jobs, view.now)) {
+    const { key, job: { account, acceptedAt, specification }, queue: { priority } } = waiting
     const step = `${key.job}.${key.step}`
-    if (!explained.has(step)) explained.set(step, { key, account, priority, acceptedAt, reason: reasonOf(state, waiting, view, capacity), share: shares.dominantShare(account) })
+    if (explained.has(step)) continue
+    const guarantee = { guaranteed: coverage.guaranteed.get(account) ?? 0, remaining: coverage.remaining.get(account) ?? 0, needed: initialAccelerators(specification) }
+    explained.set(step, { key, account, priority, acceptedAt, reason: reasonOf(state, waiting, view, capacity), share: shares.dominantShare(account), ...priority === 0 && { guarantee } })
   }
   return [...explained.values()]
 }
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -32,6 +32,19 @@
   expect(reasons(full)[1]).toBe(`normal ${WaitingReason.NoWorker}`)
 })
 
+test('an urgent job that waits is logged with what the guarantee of its account has for it', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('running', [whole])
+  world.start('running', 0, 0, ['a@1'])
+  world.submit('covered', [whole], 'urgent', 'one')
+  world.submit('wider than the rest', [{ ...whole, tasks: 2 }], 'urgent', 'one')
+  const explained = explainWaiting(world.state.steps, view(world)).map(({ key, reason, guarantee }) => ({ job: key.job, reason, guarantee }))
+  expect(explained).toEqual([
+    { job: 'covered', reason: WaitingReason.NoFreeCapacity, guarantee: { guaranteed: 16, remaining: 8, needed: 8 } },
+    { job: 'wider than the rest', reason: WaitingReason.GuaranteeUsedUp, guarantee: { guaranteed: 16, remaining: 8, needed: 16 } }
+  ])
+})
+
 test('a gang under which a worker crashed waits for a quiet worker, not for capacity', () => {
   const world = StepWorld.create([worker('a'), worker('b')])
   world.submit('suspect', [step()])
