Reach the leader through an entry where the path to it is broken

Callers saw that urgent work beside a partition of workers is late. Control took a worker whose agent it could not reach for one that does no work: nothing new was started there after 1.1 s, and its runs were given up 7.5 s after the last report, though the worker ran on.

Entries forward TCP connections of agents to the leader that last confirmed them. The leader tells agents which entries do; an agent dials one at once after a control host that did not answer at all. The bytes pass unread, so that leases, terms and confirmations are as before: they depend on what the leader and the agent say, not on the path. Fields are added only (EntryMessage.relay, WorkerOrders.relays).

--- a/measurements/capacity-processes.ts
+++ b/measurements/capacity-processes.ts
@@ -143,6 +143,6 @@
     if (update.number === number) return
     number = update.number
     reportUpdate(number, update.sectionsJson.length)
-    call.write({ entry: `entry-${position}`, inForce: number } satisfies EntryMessage)
+    call.write({ entry: `entry-${position}`, inForce: number, relay: '' } satisfies EntryMessage)
   })
 }
--- a/src/agent/control-stream.ts
+++ b/src/agent/control-stream.ts
@@ -46,6 +46,10 @@
   readonly client: ControlClient
   readonly call: ClientDuplexStream<Sent, Received>
   readonly host: string
+  /** The host forwards the stream to the leader. */
+  readonly relayed: boolean
+  /** A message has come. */
+  answered: boolean
 }
 
 /** Keeps one stream to the leader open and reconnects when it closes. */
@@ -134,12 +138,12 @@
     connection.client.close()
   }
 
-  private dial (host: string): void {
+  private dial (host: string, relayed = false): void {
     if (!this.running) return
     this.hosts.advancePast(host)
     const client = new ControlClient(host, this.channelCredentials, channelOptions)
     const call = this.protocol.open(client)
-    const connection: Connection<Sent, Received> = { client, call, host }
+    const connection: Connection<Sent, Received> = { client, call, host, relayed, answered: false }
     this.connection = connection
     this.silenceTimeoutMilliseconds = FIRST_MESSAGE_TIMEOUT_MILLISECONDS
     call.on('data', (message: Received) => { this.handleMessage(connection, message) })
@@ -151,6 +155,7 @@
 
   private handleMessage (connection: Connection<Sent, Received>, message: Received): void {
     if (this.connection !== connection) return
+    connection.answered = true
     this.watchSilence()
     const refusal = this.protocol.refusalOf(message)
     if (refusal !== undefined) this.redirect(connection, refusal)
@@ -164,7 +169,7 @@
     this.closeConnection(connection, follow ? refusal.leader : undefined)
   }
 
-  /** With a host, dials it at once; otherwise dials the next host of the list after a delay. */
+  /** With a host, dials it at once; otherwise dials the next one. */
   private closeConnection (connection: Connection<Sent, Received>, host?: string): void {
     if (this.connection !== connection) return
     this.connection = undefined
@@ -175,6 +180,13 @@
     this.listener.closed()
     if (!this.running) return
     if (host !== undefined) this.dial(host)
+    else this.dialNext(connection)
+  }
+
+  /** After a control host that did not answer, a relay is dialled at once, as only the path to the host may be broken; otherwise the next control host after a delay. */
+  private dialNext ({ relayed, answered }: Connection<Sent, Received>): void {
+    const relay = relayed || answered ? undefined : this.hosts.nextRelay()
+    if (relay !== undefined) this.dial(relay, true)
     else this.dialTimer = setTimeout(() => { this.dial(this.hosts.current) }, this.backoff.nextDelay())
   }
 
--- a/src/agent/supervisor.ts
+++ b/src/agent/supervisor.ts
@@ -321,6 +321,7 @@
     this.stream.confirmLeader()
     this.stream.setSilenceTimeout(SILENCE_TIMEOUT_MILLISECONDS)
     this.options.hosts.updateFromLeader(orders.controlHosts)
+    this.options.hosts.updateRelays(orders.relays)
     this.answeredReportAt = Math.max(this.answeredReportAt, this.reportSentAt.get(orders.sequence) ?? -Infinity)
     const { current } = this
     if (current?.reportable !== true || orders.incarnation !== current.heartbeat.incarnation) return
--- a/src/client/known-hosts.ts
+++ b/src/client/known-hosts.ts
@@ -1,6 +1,12 @@
-/** Addresses of control hosts: the seeds from the settings, and the current hosts as a leader last reported them. */
+/** Starting positions in the list of relays are drawn below this, so that agents spread over the relays. */
+const MAX_START_POSITION = 1_000
+
+/** Addresses of control hosts: the seeds from the settings, and the current hosts as a leader last reported them, with the relays that lead to it. */
 export class KnownHosts {
   private fromLeader: readonly string[] = []
+  /** Addresses of entries that forward connections to the leader. */
+  private relays: readonly string[] = []
+  private relayPosition = Math.floor(Math.random() * MAX_START_POSITION)
   private constructor (private seeds: readonly string[], private position: number) {}
 
   /**
@@ -42,6 +48,23 @@
     this.seeds = seeds
   }
 
+  /**
+   * Takes over the relays from a leader.
+   * @param addresses - their addresses; an empty list changes nothing, as a new leader does not know them at first
+   */
+  updateRelays (addresses: readonly string[]): void {
+    if (addresses.length > 0) this.relays = [...addresses]
+  }
+
+  /** The relay to try next, undefined where none is known. Those beside a control host are used only without others, as they mostly share its network path. */
+  nextRelay (): string | undefined {
+    const controlIps = new Set(this.all.map(ipOf))
+    const apart = this.relays.filter((relay) => !controlIps.has(ipOf(relay)))
+    const candidates = apart.length > 0 ? apart : this.relays
+    this.relayPosition += 1
+    return candidates[this.relayPosition % Math.max(1, candidates.length)]
+  }
+
   /** The address to try now. */
   get current (): string {
     const { all } = this
@@ -62,3 +85,7 @@
     if (position >= 0) this.position = position + 1
   }
 }
+
+function ipOf (address: string): string {
+  return address.slice(0, address.lastIndexOf(':'))
+}
--- a/src/control/configuration-followers.ts
+++ b/src/control/configuration-followers.ts
@@ -9,10 +9,14 @@
 const COPY_VALID_MILLISECONDS = 4_000
 /** Interval at which unchanged copies are confirmed, in milliseconds. */
 export const CONFIRM_INTERVAL_MILLISECONDS = 1_000
+/** Limit of the relays that agents are told of. */
+const MAX_RELAYS = 16
 
 interface ConfigurationFollower {
   entry: string
   inForce: number
+  /** Address at which the entry forwards connections of agents, empty for none. */
+  relay: string
 }
 
 /** The leader's end of the streams by which entries follow the configuration. */
@@ -36,8 +40,8 @@
 
   /** Handles a new stream and sends it the full document. */
   attach (call: ConfigurationCall): void {
-    this.followers.set(call, { entry: '', inForce: 0 })
-    call.on('data', ({ entry, inForce }: wire.EntryMessage) => { this.followers.set(call, { entry, inForce }) })
+    this.followers.set(call, { entry: '', inForce: 0, relay: '' })
+    call.on('data', ({ entry, inForce, relay }: wire.EntryMessage) => { this.followers.set(call, { entry, inForce, relay }) })
     const remove = (): void => { this.followers.delete(call) }
     call.on('end', () => { remove(); call.end() })
     call.on('error', remove)
@@ -65,6 +69,13 @@
     return [...this.followers.values()].map(({ entry, inForce }) => ({ process: `entry ${entry}`, inForce }))
   }
 
+  /** Addresses of entries that forward connections of agents to this leader. Of many, an even selection of the sorted addresses, so that few share a data centre. */
+  relays (): string[] {
+    const all = [...new Set([...this.followers.values()].map(({ relay }) => relay))].filter((relay) => relay !== '').sort()
+    const interval = Math.ceil(all.length / MAX_RELAYS)
+    return all.filter((_relay, position) => position % interval === 0)
+  }
+
   private update (changed: readonly Section[], full: boolean): wire.ConfigurationUpdate {
     const { configuration: { number, document, sectionNumbers }, steps } = this.committed()
     const sections = allSections.map((section) => ({ section, number: sectionNumbers.get(section) ?? 0 }))
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -163,6 +163,7 @@
       interference: this.interference,
       confirm: () => this.confirm(),
       controlHosts: () => this.controlHosts(),
+      relays: () => this.followers.relays(),
       leaseMilliseconds: options.workerLeaseMilliseconds ?? DEFAULT_WORKER_LEASE_MILLISECONDS,
       stopMilliseconds: options.workerStopMilliseconds ?? DEFAULT_WORKER_STOP_MILLISECONDS
     })
--- a/src/control/supervisors.ts
+++ b/src/control/supervisors.ts
@@ -51,6 +51,8 @@
   readonly confirm: () => Promise<boolean>
   /** Addresses of the current control hosts. */
   readonly controlHosts: () => readonly string[]
+  /** Addresses of entries that forward connections of agents to this host. */
+  readonly relays: () => readonly string[]
   /** Length of a lease, in milliseconds of the worker's clock, from the reading in the report for which it is granted. */
   readonly leaseMilliseconds: number
   /** Longest time that a worker takes to end its runs once their lease has expired, in milliseconds. */
@@ -463,7 +465,8 @@
       starts: commanded === undefined || [this.context.head(), this.context.committed()].some((state) => isEvacuated(state.steps, commanded.dataCentre)) ? [] : this.startOrders(commanded, listed),
       stops: this.runsToStop(life, report),
       used: life?.used,
-      controlHosts: [...this.context.controlHosts()]
+      controlHosts: [...this.context.controlHosts()],
+      relays: [...this.context.relays()]
     })
     supervisor.call.write(orders)
   }
--- a/src/entry/configuration-follower.ts
+++ b/src/entry/configuration-follower.ts
@@ -20,6 +20,8 @@
   readonly channels: Channels
   readonly configuration: ConfigurationCopy
   readonly logger: Logger
+  /** Address at which this entry forwards connections of agents; undefined where it does not. */
+  readonly relay?: string | undefined
   /** Called with the number of the queue document at each update, 0 where it is not known. */
   readonly onDocumentNumber?: ((number: number) => void) | undefined
 }
@@ -95,7 +97,8 @@
   }
 
   private inForceMessage (): EntryMessage {
-    return { entry: this.context.entry, inForce: this.context.configuration.number }
+    const { entry, configuration, relay = '' } = this.context
+    return { entry, inForce: configuration.number, relay }
   }
 
   private restartUpdateTimer (milliseconds: number): void {
--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -20,6 +20,7 @@
 import { OpenRequests } from './open-requests'
 import { RefusalError } from './refusal-answer'
 import { RefusalFilter } from './refusal-filter'
+import { Relay } from './relay'
 
 /** Limit of an encoded part of a path, in bytes: the name of a data centre, with three bytes for each character and three characters for each byte. */
 const MAX_PARAMETER_LENGTH = MAX_DATA_CENTRE_NAME_LENGTH * 3 * 3
@@ -56,6 +57,8 @@
 export class EntryHost {
   private application: NestFastifyApplication | undefined
   private followerDone: Promise<void> = Promise.resolve()
+  private relay?: Relay
+  private metrics?: EntryMetrics
   private readonly channels: Channels
   private readonly configuration = ConfigurationCopy.create()
   private readonly openRequests = OpenRequests.create()
@@ -67,7 +70,7 @@
     this.channels = channels
     this.leader = leader
     this.follower = ConfigurationFollower.create({
-      entry: options.host, hosts, leader: this.leader, channels: this.channels, configuration: this.configuration, logger: options.logger, onDocumentNumber: options.onDocumentNumber
+      entry: options.host, hosts, leader: this.leader, channels: this.channels, configuration: this.configuration, logger: options.logger, onDocumentNumber: options.onDocumentNumber, relay: options.settings.relay
     })
   }
 
@@ -86,6 +89,7 @@
     this.application = application
     const { ip, port } = parseAddress(this.options.settings.address)
     await application.listen(port, ip)
+    await this.startRelay()
     this.followerDone = this.follower.run()
     this.options.logger.info('entry-listening', { address: this.address })
   }
@@ -112,6 +116,7 @@
     this.openRequests.handOver()
     await this.openRequests.drain(HANDOVER_TIMEOUT_MILLISECONDS)
     this.follower.stop()
+    this.relay?.close()
     await this.application?.close()
     await this.followerDone
     this.channels.close()
@@ -119,6 +124,12 @@
     return handedOver === 0 ? [] : [`${handedOver} waiting callers were told to fetch their answers from another entry`]
   }
 
+  private async startRelay (): Promise<void> {
+    const { settings: { relay: address }, logger } = this.options
+    if (address === undefined) return
+    this.relay = await Relay.listen({ address, leader: this.leader, logger, onRefusal: (reason) => { this.metrics?.countRelayRefusal(reason) } })
+  }
+
   private async createApplication (): Promise<NestFastifyApplication> {
     const { settings, logger, tls, connection, limits = HttpLimits.create({}, logger) } = this.options
     const connectionShare = connection === undefined ? CONNECTION_SHARE : CONNECTION_SHARE_BESIDE_OTHERS
@@ -127,8 +138,10 @@
     const metrics = EntryMetrics.create({
       openRequests: () => this.openRequests.count,
       configurationNumber: () => this.configuration.number,
-      configurationConfirmed: () => this.configuration.isConfirmed(Date.now())
+      configurationConfirmed: () => this.configuration.isConfirmed(Date.now()),
+      relayedConnections: () => this.relay?.connections ?? 0
     }, limits)
+    this.metrics = metrics
     const { configuration, openRequests, leader } = this
     const application = await NestFactory.create<NestFastifyApplication>(
       EntryModule.of({ configuration, limiter, leader, metrics, openRequests }), createAdapter(guard, tls), { logger: false, abortOnError: false, bodyParser: false })
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -3,6 +3,7 @@
 import { registerLimitMetrics } from '../http/limit-metrics'
 import type { Principal } from './authenticator'
 import { PrincipalKind } from './authenticator'
+import type { RelayRefusal } from './relay'
 
 const REQUEST_SECONDS_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60, 600]
 const MILLISECONDS_PER_SECOND = 1_000
@@ -12,6 +13,7 @@
   readonly openRequests: () => number
   readonly configurationNumber: () => number
   readonly configurationConfirmed: () => boolean
+  readonly relayedConnections: () => number
 }
 
 /** The metrics of an entry, in the Prometheus text format. */
@@ -33,12 +35,17 @@
     name: 'bramleyflow_entry_resends_total', help: 'Requests sent again to control after a break', registers: [this.registry]
   })
 
+  private readonly relayRefusals = new Counter({
+    name: 'bramleyflow_entry_relay_refusals_total', help: 'Connections of agents that were not forwarded to the leader, by reason', labelNames: ['reason'], registers: [this.registry]
+  })
+
   private constructor (gauges: EntryGauges, limits: HttpLimits) {
     registerLimitMetrics(this.registry, limits)
     collectDefaultMetrics({ register: this.registry })
     this.gauge('bramleyflow_entry_open_requests', 'Requests open now', gauges.openRequests)
     this.gauge('bramleyflow_entry_configuration_number', 'Number of the document in force', gauges.configurationNumber)
     this.gauge('bramleyflow_entry_configuration_confirmed', '1 while a leader confirms the copy in time', () => Number(gauges.configurationConfirmed()))
+    this.gauge('bramleyflow_entry_relayed_connections', 'Connections of agents that are forwarded to the leader now', gauges.relayedConnections)
   }
 
   /**
@@ -51,6 +58,14 @@
     return new EntryMetrics(gauges, limits)
   }
 
+  /**
+   * Counts a connection that was not forwarded.
+   * @param reason - why
+   */
+  countRelayRefusal (reason: RelayRefusal): void {
+    this.relayRefusals.inc({ reason })
+  }
+
   /**
    * Counts an answer.
    * @param principal - the sender of the request, undefined when not authenticated
--- a/src/settings/deployment.ts
+++ b/src/settings/deployment.ts
@@ -1,11 +1,12 @@
 /** Derives the settings sections of a process that is run by the users' platform. */
 import { parseAddress } from './address'
-import { Role, type DeploymentSettings, type Settings } from './schema'
+import { Role, type DeploymentSettings, type EntrySettings, type Settings } from './schema'
 
 /** Offsets from the first internal port. */
 enum InternalPort {
   Control = 0,
-  Entry = 1
+  Entry = 1,
+  Relay = 2
 }
 
 /** Part of the platform's stop deadline that is reserved for closing sockets and files. */
@@ -26,7 +27,7 @@
   if (deployment === undefined) return settings
   const controlHosts = controlHostsOf(deployment)
   const filled: Settings = { ...settings, controlHosts }
-  if (roles.includes(Role.Entry)) filled.entry ??= { address: internalAddress(deployment, InternalPort.Entry), stopDeadlineSeconds: stopSeconds(deployment), openRequestsPerAccount: 1_000 }
+  if (roles.includes(Role.Entry)) filled.entry ??= entrySettingsOf(settings, deployment)
   if (roles.includes(Role.Control) && deployment.folder !== undefined) {
     filled.control ??= { address: controlAddressOf(deployment), folder: deployment.folder, voters: controlHosts, metrics: `${deployment.ip}:${CONTROL_METRICS_PORT}` }
   }
@@ -63,6 +64,16 @@
   return folderMegabytes === 0 ? undefined : Math.floor(folderMegabytes * BYTES_PER_MEGABYTE * RECORD_SHARE)
 }
 
+/** An agent checks the certificate of the address that it connects to, so connections with TLS are not relayed. */
+function entrySettingsOf ({ tls }: Settings, deployment: DeploymentSettings): EntrySettings {
+  return {
+    address: internalAddress(deployment, InternalPort.Entry),
+    stopDeadlineSeconds: stopSeconds(deployment),
+    openRequestsPerAccount: 1_000,
+    ...tls === undefined && { relay: internalAddress(deployment, InternalPort.Relay) }
+  }
+}
+
 /** The platform kills a process that exceeds its stop deadline, so the graceful stop must end before it. */
 function stopSeconds ({ stopDeadlineSeconds }: DeploymentSettings): number {
   return Math.max(0, stopDeadlineSeconds - STOP_MARGIN_SECONDS)
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -23,6 +23,7 @@
     ['/control/metrics', settings.control?.metrics],
     ...listed('/control/voters', settings.control?.voters),
     ['/entry/address', settings.entry?.address],
+    ['/entry/relay', settings.entry?.relay],
     ['/agent/platform', settings.agent?.platform],
     ['/agent/target', settings.agent?.target]
   ]
@@ -47,6 +48,10 @@
   return [{ path: '/controlHosts', value: '[]', expected: 'at least one address of a control host' }]
 }
 
+function relayProblems ({ entry, tls }: Settings): Problem[] {
+  return entry?.relay === undefined || tls === undefined ? [] : [{ path: '/entry/relay', value: formatValue(entry.relay), expected: 'no relay, because connections with TLS are not relayed' }]
+}
+
 function voterProblems (settings: Settings): Problem[] {
   const voters = settings.control?.voters ?? []
   if (new Set(voters).size === voters.length) return []
@@ -59,7 +64,7 @@
   return Array.isArray(roles) ? roleProblems({ ...json as Settings, roles }) : []
 }
 
-const crossChecks = [addressProblems, roleProblems, controlHostProblems, voterProblems]
+const crossChecks = [addressProblems, roleProblems, controlHostProblems, relayProblems, voterProblems]
 
 function withControlHosts (settings: Settings): Settings {
   return settings.controlHosts.length > 0 ? settings : { ...settings, controlHosts: settings.control?.voters ?? [] }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -44,6 +44,7 @@
 export const entrySettingsSchema = Type.Object({
   address,
   stopDeadlineSeconds,
+  relay: Type.Optional(Type.String({ ...address, description: 'IP address and port at which this entry forwards connections of agents that do not reach the control hosts themselves; not with TLS' })),
   openRequestsPerAccount: Type.Integer({
     minimum: 1, maximum: 100_000, default: 1_000, description: 'maximum number of open requests of one account at this entry; further ones are refused'
   }),
--- a/test/interference-tracker.test.ts
+++ b/test/interference-tracker.test.ts
@@ -138,6 +138,7 @@
     submit: async () => { await Promise.resolve() },
     confirm: async () => await Promise.resolve(false),
     controlHosts: () => [],
+    relays: () => [],
     leaseMilliseconds: 4_000,
     stopMilliseconds: 50,
     interference: tracker,
--- a/test/partitioned-worker.test.ts
+++ b/test/partitioned-worker.test.ts
@@ -72,6 +72,7 @@
     let sequence = heartbeat.sequence
     const heartbeats = setInterval(() => {
       sequence += 1
+      this.worker.running = this.worker.running.map((run) => ({ ...run, percent: run.percent + 1 }))
       supervisor.handleHeartbeat({ ...heartbeat, accelerators: 8, processors: 64_000, memoryMegabytes: 131_072, clock: performance.now() + 10_000, sequence })
     }, 100)
     this.cleanups.unshift(async () => { clearInterval(heartbeats); await supervisor.stop() })
--- a/test/supervision-simulation.ts
+++ b/test/supervision-simulation.ts
@@ -285,6 +285,7 @@
       submit: async (transaction: Transaction) => await this.machine.submit(transaction),
       confirm: async () => await this.confirm(),
       controlHosts: () => simulation.addresses,
+      relays: () => [],
       leaseMilliseconds: LEASE_MILLISECONDS,
       stopMilliseconds: simulation.platform.times.stop,
       log: (event, fields) => {
--- a/test/supervisors.test.ts
+++ b/test/supervisors.test.ts
@@ -31,6 +31,7 @@
       return this.confirmed
     },
     controlHosts: () => ['127.0.0.1:1'],
+    relays: () => [],
     leaseMilliseconds: LEASE,
     stopMilliseconds: 50,
     log: (event, fields) => { this.logged.push({ event, ...fields }) }
