Let guarantees stop lower work before urgent work of other accounts

The gangs to stop for guaranteed work are those that lose the least work, so urgent work that had just started went first although work of lower priority ran, which has two to three times its own time as slack. Work of the same priority now counts with its whole work as well, as a stop makes it late. The guarantee itself is reclaimed as before, also from urgent work where nothing else runs.

The new test fails without the change ("stop borrower reclaimed").

Tried and not kept: a guarantee that covers gangs of a job where it does not cover the whole job, as guarantees of 8 stay idle beside jobs that need 24.

--- a/src/core/steps/preemption.ts
+++ b/src/core/steps/preemption.ts
@@ -21,7 +21,7 @@
   readonly members: ReadonlyArray<{ readonly incarnation: string }>
   /** Resources that each member holds. */
   readonly taskResources: StepSpecification
-  /** Work that a stop would lose, in processor-seconds; raised for each earlier attempt. */
+  /** Work that a stop would lose, in processor-seconds, with the whole work of a gang of the same priority; raised for each earlier attempt. */
   readonly cost: number
   readonly losesWork: boolean
 }
@@ -46,7 +46,7 @@
   for (const identifier of state.open) {
     const job = state.jobs.get(identifier)
     if (job === undefined || !mayPreempt(state, job, waiting, guaranteed)) continue
-    for (const victim of victimsOf(job, waiting.guaranteed, now)) {
+    for (const victim of victimsOf(state, job, waiting, now)) {
       for (const incarnation of new Set(victim.members.map((member) => member.incarnation))) {
         byWorker.set(incarnation, [...byWorker.get(incarnation) ?? [], victim])
       }
@@ -62,7 +62,8 @@
 }
 
 /** Without a guarantee, only gangs with checkpoints may be preempted. */
-function victimsOf (job: StepJob, guaranteed: boolean, now: number): Victim[] {
+function victimsOf (state: StepState, job: StepJob, { guaranteed, queue }: WaitingGang, now: number): Victim[] {
+  const samePriority = queueOfJob(state, job).priority === queue.priority
   return gangIndex(job).running.flatMap((positions, number) => positions.flatMap((position): Victim[] => {
     const gang = job.gangs[number]![position]!
     const { run } = gang
@@ -70,14 +71,19 @@
     if (run === undefined || step === undefined || run.stopping !== undefined || gang.done) return []
     if (!guaranteed && !step.checkpoints) return []
     const members = run.members.filter(({ ended }) => !ended)
-    const cost = lostWork(step, run, now) * (1 + REPEATED_STOP_WEIGHT * (run.attempt - 1))
+    // Work of the same priority has as little slack as the gang it yields to, so that a stop makes it late.
+    const lateWork = samePriority ? processorSeconds(step, members.length, step.estimateMilliseconds) : 0
+    const cost = (lostWork(step, run, now) + lateWork) * (1 + REPEATED_STOP_WEIGHT * (run.attempt - 1))
     return [{ job: job.identifier, step: number, gang: position, attempt: run.attempt, members, taskResources: step, cost, losesWork: !step.checkpoints }]
   }))
 }
 
 function lostWork (step: StepSpecification, { startedAt, members }: GangRun, now: number): number {
-  const lost = step.checkpoints ? RESTORE_MILLISECONDS : now - startedAt
-  return members.length * lost * (step.processors + PROCESSORS_PER_ACCELERATOR * step.accelerators) / 1e6
+  return processorSeconds(step, members.length, step.checkpoints ? RESTORE_MILLISECONDS : now - startedAt)
+}
+
+function processorSeconds ({ processors, accelerators }: StepSpecification, members: number, milliseconds: number): number {
+  return members * milliseconds * (processors + PROCESSORS_PER_ACCELERATOR * accelerators) / 1e6
 }
 
 /**
--- a/test/step-schedule.test.ts
+++ b/test/step-schedule.test.ts
@@ -95,6 +95,28 @@
   expect(decide(other)).toEqual([`stop saving ${StopReason.Preempted}`])
 })
 
+test('a guarantee takes capacity from lower work before it makes urgent work of another account late', () => {
+  const urgent = step({ accelerators: 8, estimateMilliseconds: 3_000 })
+  const world = StepWorld.create([worker('a'), worker('b')])
+  world.submit('lower', [step({ accelerators: 8 })], 'later')
+  decide(world)
+  world.now += 2_000
+  world.submit('borrower', [urgent], 'urgent', 'two')
+  decide(world)
+  world.submit('guaranteed', [urgent], 'urgent', 'one')
+  world.now += 800
+  expect(decide(world)).toEqual([`stop lower ${StopReason.Reclaimed}`])
+})
+
+test('a guarantee takes capacity from urgent work of another account where there is no lower work', () => {
+  const world = StepWorld.create([worker('a')])
+  world.submit('borrower', [step({ accelerators: 8 })], 'urgent', 'two')
+  decide(world)
+  world.submit('guaranteed', [step({ accelerators: 8 })], 'urgent', 'one')
+  world.now += 800
+  expect(decide(world)).toEqual([`stop borrower ${StopReason.Reclaimed}`])
+})
+
 test('guaranteed work is not preempted for other guaranteed work', () => {
   const world = StepWorld.create([worker('a')])
   world.submit('first', [step({ accelerators: 8 })], 'urgent', 'one')
