Bound relayed connections by the descriptors of the process

A relay took up to 256 connections, so 512 descriptors, whatever the process may open. HTTP servers may take four fifths of the descriptors; with 1,024 of them a full relay would have left none for files and for connections to control, and callers would have been refused.

A relay now takes a twentieth of the connections that the process may have, so a tenth of that number in descriptors at most. Errors of the listening socket after its start are logged instead of ending the process.

--- a/src/entry/entry-host.ts
+++ b/src/entry/entry-host.ts
@@ -30,6 +30,8 @@
 /** Share of the connections of the process; less where another server of the process is the one for clients. */
 const CONNECTION_SHARE = 0.8
 const CONNECTION_SHARE_BESIDE_OTHERS = 0.15
+/** Relayed connections, as a share of the same: each takes two descriptors of those that are not for HTTP servers. */
+const RELAY_CONNECTION_SHARE = 0.05
 /** Time after which a caller may try again whose body was not received, in milliseconds. */
 const BODY_RETRY_AFTER_MILLISECONDS = 1_000
 /** Submissions in flight to control at the same time, over all accounts. */
@@ -58,7 +60,8 @@
   private application: NestFastifyApplication | undefined
   private followerDone: Promise<void> = Promise.resolve()
   private relay?: Relay
-  private metrics?: EntryMetrics
+  private readonly limits: HttpLimits
+  private readonly metrics: EntryMetrics
   private readonly channels: Channels
   private readonly configuration = ConfigurationCopy.create()
   private readonly openRequests = OpenRequests.create()
@@ -66,6 +69,13 @@
   private readonly follower: ConfigurationFollower
 
   private constructor (private readonly options: EntryOptions) {
+    this.limits = options.limits ?? HttpLimits.create({}, options.logger)
+    this.metrics = EntryMetrics.create({
+      openRequests: () => this.openRequests.count,
+      configurationNumber: () => this.configuration.number,
+      configurationConfirmed: () => this.configuration.isConfirmed(Date.now()),
+      relayedConnections: () => this.relay?.connections ?? 0
+    }, this.limits)
     const { hosts, channels, leader } = options.connection ?? connectControl(KnownHosts.create(options.controlHosts), options.logger, options.tls)
     this.channels = channels
     this.leader = leader
@@ -127,22 +137,16 @@
   private async startRelay (): Promise<void> {
     const { settings: { relay: address }, logger } = this.options
     if (address === undefined) return
-    this.relay = await Relay.listen({ address, leader: this.leader, logger, onRefusal: (reason) => { this.metrics?.countRelayRefusal(reason) } })
+    const maxConnections = Math.floor(this.limits.limits.connections * RELAY_CONNECTION_SHARE)
+    this.relay = await Relay.listen({ address, maxConnections, leader: this.leader, logger, onRefusal: (reason) => { this.metrics.countRelayRefusal(reason) } })
   }
 
   private async createApplication (): Promise<NestFastifyApplication> {
-    const { settings, logger, tls, connection, limits = HttpLimits.create({}, logger) } = this.options
+    const { settings, logger, tls, connection } = this.options
     const connectionShare = connection === undefined ? CONNECTION_SHARE : CONNECTION_SHARE_BESIDE_OTHERS
-    const guard = limits.guard({ endpoint: 'api', connectionShare, limits: () => requestLimits })
+    const guard = this.limits.guard({ endpoint: 'api', connectionShare, limits: () => requestLimits })
     const limiter = FairLimiter.create({ maxOpenRequestsPerAccount: settings.openRequestsPerAccount, maxConcurrentSubmissions: MAX_CONCURRENT_SUBMISSIONS })
-    const metrics = EntryMetrics.create({
-      openRequests: () => this.openRequests.count,
-      configurationNumber: () => this.configuration.number,
-      configurationConfirmed: () => this.configuration.isConfirmed(Date.now()),
-      relayedConnections: () => this.relay?.connections ?? 0
-    }, limits)
-    this.metrics = metrics
-    const { configuration, openRequests, leader } = this
+    const { configuration, openRequests, leader, metrics } = this
     const application = await NestFactory.create<NestFastifyApplication>(
       EntryModule.of({ configuration, limiter, leader, metrics, openRequests }), createAdapter(guard, tls), { logger: false, abortOnError: false, bodyParser: false })
     const authenticator = Authenticator.create(settings.bootstrapTokenDigest)
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -8,8 +8,6 @@
 import type { Logger } from '../logging'
 import { parseAddress } from '../settings/index'
 
-/** Limit of the connections that are forwarded at a time; each takes two descriptors. */
-const MAX_CONNECTIONS = 256
 /** Time without bytes in either direction after which a connection is closed, in milliseconds: agents report twice a second. */
 const IDLE_TIMEOUT_MILLISECONDS = 5_000
 /** Age of the last contact with a leader beyond which nothing is forwarded to it, in milliseconds: two confirmations are missing. */
@@ -25,6 +23,8 @@
 export interface RelayOptions {
   /** IP address and port to listen on. */
   readonly address: string
+  /** Limit of the connections that are forwarded at a time; each takes two descriptors. */
+  readonly maxConnections: number
   readonly leader: Pick<LeaderClient, 'lastKnown'>
   /** Called for each connection that is not forwarded. */
   readonly onRefusal: (reason: RelayRefusal) => void
@@ -34,12 +34,11 @@
 /** A TCP server that connects each client with the leader. */
 export class Relay {
   private readonly server: Server
-  private readonly sockets = new Set<Socket>()
+  /** Connections to the leader, by the client that each is for. */
+  private readonly forwarded = new Map<Socket, Socket>()
 
   private constructor (private readonly options: RelayOptions) {
-    this.server = createServer((client) => { this.forward(client) })
-    this.server.maxConnections = MAX_CONNECTIONS
-    this.server.on('drop', () => { options.onRefusal(RelayRefusal.Connections) })
+    this.server = createServer((client) => { this.accept(client) })
   }
 
   /**
@@ -51,39 +50,54 @@
     const relay = new Relay(options)
     const { ip, port } = parseAddress(options.address)
     await new Promise<void>((resolve, reject) => { relay.server.once('error', reject).listen(port, ip, resolve) })
+    relay.server.on('error', ({ message }) => { options.logger.warn('relay-failed', { message }) })
     return relay
   }
 
   /** Number of connections that are forwarded now. */
   get connections (): number {
-    return this.sockets.size / 2
+    return this.forwarded.size
   }
 
   /** Refuses new connections and closes the open ones; their agents connect elsewhere. */
   close (): void {
     this.server.close()
-    for (const socket of this.sockets) socket.destroy()
+    for (const client of this.forwarded.keys()) client.destroy()
   }
 
-  private forward (client: Socket): void {
+  private accept (client: Socket): void {
     const { leader, leaderSilentMilliseconds = Infinity } = this.options.leader.lastKnown
-    if (leader === undefined || leaderSilentMilliseconds > MAX_CONTACT_AGE_MILLISECONDS) {
-      client.destroy()
-      this.options.onRefusal(RelayRefusal.NoLeader)
-      return
-    }
+    if (leader === undefined || leaderSilentMilliseconds > MAX_CONTACT_AGE_MILLISECONDS) this.refuse(client, RelayRefusal.NoLeader)
+    else if (this.connections >= this.options.maxConnections) this.refuse(client, RelayRefusal.Connections)
+    else this.forward(client, leader)
+  }
+
+  private refuse (client: Socket, reason: RelayRefusal): void {
+    client.destroy()
+    this.options.onRefusal(reason)
+  }
+
+  private forward (client: Socket, leader: string): void {
+    const { logger } = this.options
     const { ip, port } = parseAddress(leader)
     const from = client.remoteAddress
     const openedAt = performance.now()
-    const pair = [client, connect(port, ip)] as const
-    this.options.logger.info('relay-opened', { from, leader, connections: this.connections + 1 })
-    for (const [socket, other] of [pair, [pair[1], pair[0]] as const]) {
-      this.sockets.add(socket)
-      socket.setNoDelay(true).setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => { socket.destroy() })
-      // A failed socket closes as well, which ends the pair.
-      socket.on('error', () => {}).on('close', () => { this.sockets.delete(socket); other.destroy() })
-      socket.pipe(other)
-    }
-    client.on('close', () => { this.options.logger.info('relay-closed', { from, leader, milliseconds: Math.round(performance.now() - openedAt) }) })
+    const upstream = connect(port, ip)
+    this.forwarded.set(client, upstream)
+    logger.info('relay-opened', { from, leader, connections: this.connections })
+    join(client, upstream)
+    join(upstream, client)
+    client.on('close', () => {
+      this.forwarded.delete(client)
+      logger.info('relay-closed', { from, leader, milliseconds: Math.round(performance.now() - openedAt) })
+    })
   }
 }
+
+/** Passes on what one socket receives, and closes the other one with it. */
+function join (socket: Socket, other: Socket): void {
+  socket.setNoDelay(true).setTimeout(IDLE_TIMEOUT_MILLISECONDS, () => { socket.destroy() })
+  // A socket that fails is closed as well.
+  socket.on('error', () => {}).on('close', () => { other.destroy() })
+  socket.pipe(other)
+}
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -21,10 +21,10 @@
   return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, server }
 }
 
-async function relayTo (lastKnown: { leader?: string, leaderSilentMilliseconds?: number }): Promise<{ readonly relay: Relay, readonly address: string, readonly refusals: RelayRefusal[] }> {
+async function relayTo (lastKnown: { leader?: string, leaderSilentMilliseconds?: number }, maxConnections = 8): Promise<{ readonly relay: Relay, readonly address: string, readonly refusals: RelayRefusal[] }> {
   const address = `127.0.0.1:${await freePort()}`
   const refusals: RelayRefusal[] = []
-  const relay = await Relay.listen({ address, leader: { lastKnown }, logger: silent, onRefusal: (reason) => { refusals.push(reason) } })
+  const relay = await Relay.listen({ address, maxConnections, leader: { lastKnown }, logger: silent, onRefusal: (reason) => { refusals.push(reason) } })
   cleanups.push(() => { relay.close() })
   return { relay, address, refusals }
 }
@@ -62,6 +62,20 @@
   expect(relay.connections).toBe(0)
 })
 
+test('connections over the limit are closed, until one of the others ends', async () => {
+  const leader = await echoServer()
+  const { relay, address, refusals } = await relayTo({ leader: leader.address, leaderSilentMilliseconds: 0 }, 1)
+  const first = dial(address)
+  await until(() => relay.connections === 1)
+  await once(dial(address), 'close')
+  expect(refusals).toEqual([RelayRefusal.Connections])
+  first.destroy()
+  await until(() => relay.connections === 0)
+  const third = dial(address)
+  third.write('report')
+  expect(String((await once(third, 'data'))[0])).toBe('report')
+})
+
 test('a connection is closed where the leader does not accept it', async () => {
   const { address } = await relayTo({ leader: `127.0.0.1:${await freePort()}`, leaderSilentMilliseconds: 0 })
   await once(dial(address), 'close')
