--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -170,6 +170,7 @@
     this.lastEnd += 1
     this.ends.push([this.lastEnd, run.task, run.attempt, how, ''])
     this.highest.set(run.task, Math.max(run.attempt, this.highest.get(run.task) ?? 0))
+    run.interval.how = how
     run.interval.to = this.record('run-ended', { worker: this.name, task: run.task, attempt: run.attempt, how, number: this.lastEnd })
     for (const wake of this.waiters.splice(0)) wake()
   }
