--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -7,11 +7,14 @@
 import { sleep } from '../shared-2/deployment.mjs'
 import { Client, documentOf, jobOf, newIdentifier, runCase, trouble } from '../shared-2/platform.mjs'
 
-const ROUNDS = 12
+const ROUNDS = 8
 /** Clients that submit one job each at the same moment. */
-const CLIENTS = 40
-/** When the leader's machine freezes after the clients have begun, round after round: a submission takes about this long. */
-const FREEZE_AFTER_MILLISECONDS = [6, 10, 14, 18]
+const CLIENTS = 16
+/** Time between the submissions of two clients. */
+const SPREAD_MILLISECONDS = 2
+/** The machine of the leader freezes once so many clients have their answer, while the others still wait. */
+const ANSWERS_BEFORE_FREEZE = 3
+const MAX_WAIT_MILLISECONDS = 100
 const FREEZE_MILLISECONDS = 2500
 const CHANGE_AFTER_MILLISECONDS = 250
 const PAUSE_MILLISECONDS = 3500
@@ -34,8 +37,10 @@
 async function playRound ({ deployment, operator, record }, attempts, round, key) {
   const leader = deployment.leader()
   record('round', { round: round + 1, key, leader: leader.name })
-  const clients = Array.from({ length: CLIENTS }, (_, index) => submitJob({ deployment, record, attempts, key, index }))
-  await sleep(FREEZE_AFTER_MILLISECONDS[round % FREEZE_AFTER_MILLISECONDS.length])
+  const progress = { answers: 0 }
+  const clients = Array.from({ length: CLIENTS }, (_, index) => submitJob({ deployment, record, attempts, key, index, progress }))
+  const latest = performance.now() + MAX_WAIT_MILLISECONDS
+  while (progress.answers < ANSWERS_BEFORE_FREEZE && performance.now() < latest) await sleep(1)
   if (trouble) deployment.signalMachine(leader, 'SIGSTOP')
   const frozenUntil = performance.now() + FREEZE_MILLISECONDS
   await sleep(CHANGE_AFTER_MILLISECONDS)
@@ -47,7 +52,8 @@
 }
 
 /** Submits one job. Without a clear answer it is sent again, to another entry. */
-async function submitJob ({ deployment, record, attempts, key, index }) {
+async function submitJob ({ deployment, record, attempts, key, index, progress }) {
+  await sleep(index * SPREAD_MILLISECONDS)
   const client = new Client(record)
   const entries = deployment.machinesOf('entry')
   const identifier = newIdentifier()
@@ -56,6 +62,7 @@
   while (answers.length < MAX_ATTEMPTS) {
     const status = await client.send(entries[(index + answers.length) % entries.length], 'POST', identifier, { key, body: jobOf(TASK_MILLISECONDS) })
     answers.push(status)
+    progress.answers += 1
     if (status === 200 || status === 401 || status === 404) break
     await sleep(RETRY_MILLISECONDS)
   }
--- a/review/shared-2/platform.mjs
+++ b/review/shared-2/platform.mjs
@@ -58,11 +58,12 @@
     this.record = record
   }
 
-  /** Asks the hosts in turn; `last` comes last. */
+  /** Asks the hosts in turn, `last` only after the others have been asked a few times. */
   async replace (document, last = this.machines[0], milliseconds = 30_000) {
     const until = performance.now() + milliseconds
-    const order = [...this.machines.filter((machine) => machine !== last), last]
-    for (let tries = 0, pause = 50; performance.now() < until; tries++, pause = Math.min(800, pause * 2)) {
+    const others = this.machines.filter((machine) => machine !== last)
+    const order = [...others, ...others, ...others, last]
+    for (let tries = 0, pause = 20; performance.now() < until; tries++, pause = Math.min(800, pause * 1.5)) {
       const address = `${order[tries % order.length].ip}:${CONTROL_PORT}`
       const { status } = await call(address, 'POST', '/config/replace', { body: document, milliseconds: OPERATOR_TIMEOUT_MILLISECONDS })
       this.record('config-answered', { version: document.version, address, status })
