--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -151,6 +151,7 @@
   async hold ({ ack_cursor: acknowledged = 0, wait_ms: wait = 0 }) {
     const forgotten = this.ends.filter(([number]) => number <= acknowledged)
     this.ends = this.ends.filter(([number]) => number > acknowledged)
+    for (const [, task, attempt] of forgotten) for (const interval of this.intervals) if (interval.task === task && interval.attempt === attempt) interval.noted = true
     if (forgotten.length > 0) this.record('ends-taken-note-of', { worker: this.name, ends: forgotten.map(([, task, attempt, how]) => `${task}/${attempt} ${how}`) })
     if (wait > 0 && this.ends.length === 0) {
       await new Promise((resolve) => {
