--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -22,6 +22,7 @@
     this.startedJobs = new Set()
     /** Starts and the times of runs, in any life; times are those of the record. */
     this.starts = []
+    this.lapses = []
     this.intervals = []
   }
 
@@ -50,6 +51,7 @@
     for (const run of this.runs.values()) {
       clearTimeout(run.timer)
       run.interval.to = at
+      run.interval.how = 'crashed'
     }
     this.runs.clear()
     clearInterval(this.leaseTimer)
@@ -121,7 +123,9 @@
   }
 
   checkLease () {
-    if (this.clock < this.leaseUntil) return
+    if (this.clock < this.leaseUntil) { this.held = true; return }
+    if (this.held) this.lapses.push(this.record('lease-lapsed', { worker: this.name }))
+    this.held = false
     for (const name of [...this.runs.keys()]) this.finish(name, 'lapsed')
   }
 
@@ -151,7 +155,7 @@
   async hold ({ ack_cursor: acknowledged = 0, wait_ms: wait = 0 }) {
     const forgotten = this.ends.filter(([number]) => number <= acknowledged)
     this.ends = this.ends.filter(([number]) => number > acknowledged)
-    for (const [, task, attempt] of forgotten) for (const interval of this.intervals) if (interval.task === task && interval.attempt === attempt) interval.noted = true
+    for (const [, task, attempt] of forgotten) for (const interval of this.intervals) if (interval.task === task && interval.attempt === attempt) interval.noted ??= this.record('end-noted', { worker: this.name, task, attempt })
     if (forgotten.length > 0) this.record('ends-taken-note-of', { worker: this.name, ends: forgotten.map(([, task, attempt, how]) => `${task}/${attempt} ${how}`) })
     if (wait > 0 && this.ends.length === 0) {
       await new Promise((resolve) => {
