--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -7,7 +7,7 @@
 import { bounds, sleep } from '../shared-2/deployment.mjs'
 import { Client, jobOf, newIdentifier, runCase, trouble } from '../shared-2/platform.mjs'
 
-const ROUNDS = 5
+const ROUNDS = 4
 const FREEZE_MILLISECONDS = 4000
 /** Half of the objective of 250 ms: within this time clients leave that give up. */
 const PATIENCE_MILLISECONDS = 125
@@ -16,7 +16,7 @@
 const KEY = 'key-of-tenant'
 const file = join(dirname(fileURLToPath(import.meta.url)), 'record.txt')
 
-await runCase({ controls: 3, entries: 2, sides: 2 }, file, [KEY], async (system) => {
+await runCase({ controls: 3, entries: 2, sides: 5 }, file, [KEY], async (system) => {
   const cancelled = new Map()
   for (let round = 0; round < ROUNDS; round++) await playRound(system, cancelled, round)
   return lateStarts(system, cancelled)
