--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -11,6 +11,8 @@
 const FREEZE_MILLISECONDS = 4000
 /** Half of the objective of 250 ms: within this time clients leave that give up. */
 const PATIENCE_MILLISECONDS = 125
+/** Clients that do not leave, for each one that does. */
+const CLIENTS_THAT_STAY = 3
 const TASK_MILLISECONDS = 500
 const PAUSE_MILLISECONDS = 6000
 const KEY = 'key-of-tenant'
@@ -22,13 +24,14 @@
   return lateStarts(system, cancelled)
 })
 
-/** One client submits a job, leaves, and cancels the job by another entry. */
+/** Four clients submit a job each; one of them leaves, and cancels its job by another entry. */
 async function playRound ({ deployment, record }, cancelled, round) {
   const entries = deployment.machinesOf('entry')
   const [first, second] = [entries[round % 2], entries[(round + 1) % 2]]
   const client = new Client(record)
   const identifier = newIdentifier()
   record('round', { round: round + 1, identifier })
+  for (let stays = 0; stays < CLIENTS_THAT_STAY; stays++) await submit(record, second)
   if (trouble) deployment.signalMachine(first, 'SIGSTOP')
   const thaw = sleep(FREEZE_MILLISECONDS).then(() => { if (trouble) deployment.signalMachine(first, 'SIGCONT') })
   await client.send(first, 'POST', identifier, { key: KEY, body: jobOf(TASK_MILLISECONDS), milliseconds: PATIENCE_MILLISECONDS })
@@ -41,6 +44,12 @@
   await sleep(PAUSE_MILLISECONDS)
 }
 
+async function submit (record, entry) {
+  const client = new Client(record)
+  await client.send(entry, 'POST', newIdentifier(), { key: KEY, body: jobOf(TASK_MILLISECONDS) })
+  client.close()
+}
+
 /** Starts of cancelled jobs later than the time allowed after the cancelling was acknowledged. */
 function lateStarts ({ workers }, cancelled) {
   return workers.flatMap(({ name, starts }) => starts.flatMap(({ task, at }) => {
