Refuse a repeated request as "may have run" whatever the reason

What callers saw: a client sent a job once and got 401, the answer for a request that did not run. The job had been accepted and ran.

Cause: an entry that gets no answer from the leader sends the submission again. The refusal of the second copy was passed on as a statement on the request, although the second leader had judged it by a newer document. Only two codes, queue-full and impossible-shape, were known as refusals that depend on the moment; every other code counted as final by default.

Ruled out: a leader that accepts with a key that is no longer in force (all such jobs were in the log before the document), and a refusal by the frozen leader (it answers nothing while it is frozen).

Change: the scope of a refusal is one table over all codes; a new code does not compile without an entry. Only identifier-reused and not-found hold for every copy. The product's own jobs use the same table. The verdict is independent of whether the log has the identifier, so that a caller without a valid key does not learn it. Refusals of the only copy are unchanged, and as fast.

--- a/src/client/confirmed-calls.ts
+++ b/src/client/confirmed-calls.ts
@@ -4,10 +4,11 @@
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
 import { err, ok, type Result } from 'neverthrow'
-import { RefusalCode, type Refusal } from '../core/verdict'
+import type { Refusal } from '../core/verdict'
 import { ControlService, Verdict } from '../wire/index'
 import { retryAfterOutage } from './outage-retry'
 import { BrokenCall, CallKind, jittered, noLeaderRefusal, notLeaderRefusal, sleep, type LeaderClient, type Refusable } from './leader-client'
+import { readRefusal, refusalOfRepeated } from './refusals'
 
 /** Timeouts of such a call, measured from its start unless stated otherwise. */
 export interface CallTimeouts {
@@ -54,7 +55,7 @@
    * @param request - its message
    * @param kind - whether it may be sent again after a failure
    * @param timeouts - how long it may take
-   * @returns the leader's reply, which may hold its refusal; or this client's refusal, whose verdict says whether the request may have run
+   * @returns the leader's reply, which may hold its refusal; or the refusal of a request that got no reply at least once, whose verdict says whether any copy of it may have run
    */
   async call<Request, Reply extends Refusable> (
     method: MethodDefinition<Request, Reply>, request: Request, kind: CallKind, timeouts: CallTimeouts
@@ -75,7 +76,7 @@
         if (refusal === undefined) {
           this.leaderMissingSince = undefined
           this.leader.noteReply(address)
-          return ok(sent ? withPossibleRun(reply) : reply)
+          return sent && reply.refusal !== undefined ? err(readRefusal(refusalOfRepeated(reply.refusal))) : ok(reply)
         }
         sent ||= kind !== CallKind.Read && refusal.verdict !== Verdict.NOT_RUN
         this.leader.noteLeader(refusal.leader, address)
@@ -123,16 +124,6 @@
   }
 }
 
-/** Refusals that depend on the moment: an earlier copy of the request may still be accepted when it arrives. */
-const momentaryRefusals: ReadonlySet<string> = new Set([RefusalCode.QueueFull, RefusalCode.ImpossibleShape])
-
-/** Weakens the verdict of a refusal after an earlier try whose outcome is unknown. */
-function withPossibleRun<Reply extends Refusable> (reply: Reply): Reply {
-  const { refusal } = reply
-  if (refusal === undefined || !momentaryRefusals.has(refusal.code)) return reply
-  return { ...reply, refusal: { ...refusal, verdict: Verdict.MAY_HAVE_RUN } }
-}
-
 /** Resolves to the value of a promise, or to undefined after a timeout. */
 async function withTimeout<Value> (milliseconds: number, outcome: Promise<Value | undefined>): Promise<Value | undefined> {
   let timer: NodeJS.Timeout | undefined
--- a/src/client/refusals.ts
+++ b/src/client/refusals.ts
@@ -30,6 +30,49 @@
   return { code, message, verdict: readVerdict(refusal.verdict), retryCanHelp, retryAfter: refusal.retryAfterMilliseconds, problems }
 }
 
+/** Which copies of a request a refusal speaks of. */
+enum RefusalScope {
+  /** The copy that it answers. An earlier one may have been decided in another state, or by a host of another version. */
+  OneCopy,
+  /** Every copy: the log proves that none of them has had an effect. */
+  EveryCopy
+}
+
+const scopeOfCode: { readonly [code in RefusalCode]: RefusalScope } = {
+  [RefusalCode.BadRequest]: RefusalScope.OneCopy,
+  [RefusalCode.Unauthorized]: RefusalScope.OneCopy,
+  [RefusalCode.Forbidden]: RefusalScope.OneCopy,
+  // A call that refers to a job: there is none in the log that any copy could have changed.
+  [RefusalCode.NotFound]: RefusalScope.EveryCopy,
+  [RefusalCode.UnknownQueue]: RefusalScope.OneCopy,
+  [RefusalCode.Conflict]: RefusalScope.OneCopy,
+  [RefusalCode.TooLarge]: RefusalScope.OneCopy,
+  [RefusalCode.UnknownAccount]: RefusalScope.OneCopy,
+  [RefusalCode.AccountClosed]: RefusalScope.OneCopy,
+  [RefusalCode.ImpossibleShape]: RefusalScope.OneCopy,
+  [RefusalCode.DeadlinePassed]: RefusalScope.OneCopy,
+  [RefusalCode.QueueFull]: RefusalScope.OneCopy,
+  [RefusalCode.OverLimit]: RefusalScope.OneCopy,
+  [RefusalCode.NotLeader]: RefusalScope.OneCopy,
+  [RefusalCode.Unavailable]: RefusalScope.OneCopy,
+  [RefusalCode.Stopping]: RefusalScope.OneCopy,
+  // The log has another request under the identifier, so it has accepted no copy of this one.
+  [RefusalCode.IdentifierReused]: RefusalScope.EveryCopy,
+  [RefusalCode.InvalidDocument]: RefusalScope.OneCopy
+}
+
+/**
+ * Weakens the refusal of a request that was sent before without an answer: the earlier copy may have been accepted, or may
+ * still be.
+ * @param refusal - the refusal of the later copy
+ * @returns the refusal with a verdict on all copies
+ */
+export function refusalOfRepeated (refusal: WireRefusal): WireRefusal {
+  const scope = scopeOfCode[refusal.code as RefusalCode] ?? RefusalScope.OneCopy
+  if (refusal.verdict !== WireVerdict.NOT_RUN || scope === RefusalScope.EveryCopy) return refusal
+  return { ...refusal, verdict: WireVerdict.MAY_HAVE_RUN, message: `${refusal.message}; an earlier copy of the request may have been accepted` }
+}
+
 /**
  * Makes the refusal of a request whose effect is unknown.
  * @param message - one sentence for a person
--- a/src/entry/job-follower.ts
+++ b/src/entry/job-follower.ts
@@ -3,7 +3,7 @@
 import { notRunRefusal, RefusalCode, Verdict, type Refusal } from '../core/verdict'
 import { ControlService, type JobQuery, type JobReport, type JobRequest } from '../wire/index'
 import { isEnded, hasIntactAnswer } from './job-view'
-import { BrokenCall, jittered, sleep, type LeaderClient, mayHaveRun, readRefusal } from '../client/index'
+import { BrokenCall, jittered, sleep, type LeaderClient, mayHaveRun, readRefusal, refusalOfRepeated } from '../client/index'
 
 /** How long a submission is retried before the caller is told that its outcome is unknown. */
 const SUBMIT_TIMEOUT_MILLISECONDS = 10_000
@@ -57,7 +57,7 @@
     for (const delay of this.backoffDelays()) {
       const outcome = await this.readReports(job.identifier, this.context.leader.stream(ControlService.submit, { job, wait }, this.context.signal), !wait)
       if (outcome.last !== undefined) return this.continueAfterSubmit(outcome.last, wait, { identifier: job.identifier, account: job.account })
-      if (outcome.refusal !== undefined) return err(this.downgradeAfterResend(readRefusal(outcome.refusal), sent))
+      if (outcome.refusal !== undefined) return err(readRefusal(sent ? refusalOfRepeated(outcome.refusal) : outcome.refusal))
       sent ||= outcome.broken?.mayHaveArrived ?? true
       if (this.context.signal.aborted || Date.now() + delay >= giveUpAt) break
       this.context.onResend?.()
@@ -99,13 +99,6 @@
     return followed.orElse((refusal) => err({ ...refusal, verdict: refusal.verdict === Verdict.NotRun ? Verdict.MayHaveRun : refusal.verdict }))
   }
 
-  /** After a broken connection an earlier copy of the request may have been accepted, so a refused resend does not prove "not run". */
-  private downgradeAfterResend (refusal: Refusal, sent: boolean): Refusal {
-    return sent && refusal.verdict === Verdict.NotRun && refusal.code !== RefusalCode.IdentifierReused
-      ? { ...refusal, verdict: Verdict.MayHaveRun }
-      : refusal
-  }
-
   /** Reads the reports on the requested job. A report on any other job ends the attempt. */
   private async readReports (identifier: string, reports: AsyncGenerator<JobReport, void>, firstOnly: boolean): Promise<ReadOutcome> {
     let last: JobReport | undefined
