Do not let a repeated change of an operator end with a false "not run"

Cause: LeaderClient.call, which carries changes of the configuration and cancellations of the product's own jobs, weakened no refusal at all after a try without an answer. EvacuationClient.change took a conflict of such a copy for a lost race and sent the order again with the newer change count. The conflict may come from its own first copy, undone by another operator, so that the order was carried out twice.

Change: both use the table of refusal scopes. The refusal of a configuration keeps the numbers.

Tests: test/unanswered-tries.test.ts, "a change of the configuration" (was not-run) and "an evacuation whose copy may have been committed" (was sent a third time, and succeeded); both failed before.

--- a/src/client/evacuation-client.ts
+++ b/src/client/evacuation-client.ts
@@ -1,6 +1,6 @@
 /** Lists, starts and finishes evacuations of data centres at the control leader. */
 import { err, ok, type Result } from 'neverthrow'
-import { notRunRefusal, RefusalCode, type Refusal } from '../core/verdict'
+import { notRunRefusal, RefusalCode, Verdict, type Refusal } from '../core/verdict'
 import { ControlService, type Evacuation } from '../wire/index'
 import { ConfirmedCalls, type CallTimeouts } from './confirmed-calls'
 import { CallKind, type LeaderClient } from './leader-client'
@@ -67,7 +67,8 @@
       const outcome = await this.tryChange(order, remaining, isAbandoned)
       if (outcome.isOk()) return outcome
       last = outcome.error
-      if (last.code !== RefusalCode.Conflict) return err(last)
+      // An order that may have run is not sent with a newer count: an opposite order may have followed it.
+      if (last.code !== RefusalCode.Conflict || last.verdict !== Verdict.NotRun) return err(last)
     }
     return err(last.code === RefusalCode.Conflict ? notRunRefusal(RefusalCode.Unavailable, last.message, RETRY_AFTER_MILLISECONDS) : last)
   }
--- a/src/client/leader-client.ts
+++ b/src/client/leader-client.ts
@@ -5,7 +5,7 @@
 import { Verdict, type Refusal as WireRefusal } from '../wire/index'
 import type { Channels } from './channels'
 import type { KnownHosts } from './known-hosts'
-import { mayHaveRun } from './refusals'
+import { mayHaveRun, refusalOfRepeated } from './refusals'
 
 /** Timeout of one try of a unary call. */
 const TRY_TIMEOUT_MILLISECONDS = 3_000
@@ -172,7 +172,7 @@
         if (sent && kind === CallKind.Once) break
       } else {
         const refusal = notLeaderRefusal(reply)
-        if (refusal === undefined) return ok(reply)
+        if (refusal === undefined) return ok(sent ? withVerdictOnAllCopies(reply) : reply)
         this.noteLeader(refusal.leader, address)
         sent ||= kind !== CallKind.Read && refusal.verdict !== Verdict.NOT_RUN
         if (sent && kind === CallKind.Once) break
@@ -257,6 +257,10 @@
   return reply.refusal?.code === RefusalCode.NotLeader ? reply.refusal : undefined
 }
 
+function withVerdictOnAllCopies<Reply extends Refusable> (reply: Reply): Reply {
+  return reply.refusal === undefined ? reply : { ...reply, refusal: refusalOfRepeated(reply.refusal) }
+}
+
 /** Marks the request as possibly arrived unless no connection was established: nothing else proves that it did not arrive. */
 function brokenCallOf (error: ServiceError): BrokenCall {
   const neverConnected = error.code === status.UNAVAILABLE && /^No connection established/.test(error.details ?? '')
--- a/test/unanswered-tries.test.ts
+++ b/test/unanswered-tries.test.ts
@@ -1,9 +1,9 @@
 /** A request that is sent again after a try without an answer: what its refusal may say of the earlier copy. */
 import { Server, ServerCredentials, type UntypedServiceImplementation } from '@grpc/grpc-js'
 import { afterEach, expect, test } from 'vitest'
-import { Channels, KnownHosts, LeaderClient, QueueClient, QueueOperation } from '../src/client'
+import { CallKind, Channels, EvacuationClient, KnownHosts, LeaderClient, QueueClient, QueueOperation } from '../src/client'
 import { RefusalCode, Verdict } from '../src/core/verdict'
-import { ConfirmReply, ControlService, QueueReply, Verdict as WireVerdict, type Refusal } from '../src/wire'
+import { ConfigurationReply, ConfirmReply, ControlService, EvacuationList, EvacuationReply, QueueReply, Verdict as WireVerdict, type Refusal } from '../src/wire'
 
 type Reply = (request: unknown) => object | undefined
 
@@ -108,3 +108,25 @@
   const refused = await client.replaceDocument(2, { queues: [], services: [], accounts: [] }, '')
   expect(refused._unsafeUnwrapErr()).toMatchObject({ code: 'invalid-document', verdict: Verdict.MayHaveRun })
 })
+
+test('a change of the configuration that is refused after a try without an answer may be in force, and the refusal keeps the numbers', async () => {
+  const reply = ConfigurationReply.fromPartial({ refusal: refusalOf(RefusalCode.Conflict), sections: [{ section: 'jobs', number: 7 }] })
+  const client = clientOf(await startLeader({ putConfiguration: fromSecondCall(reply) }))
+  const answer = await client.call(ControlService.putConfiguration, { team: 't', requestIdentifier: 'r', read: [], sectionsJson: '{}' }, CallKind.Repeatable)
+  expect(answer._unsafeUnwrap()).toMatchObject({ refusal: { code: 'conflict', verdict: WireVerdict.MAY_HAVE_RUN }, sections: [{ number: 7 }] })
+})
+
+// Guards against an evacuation that is carried out a second time, after another operator has undone the first one.
+test('an evacuation whose copy may have been committed is not sent with a newer change count', async () => {
+  let orders = 0
+  const address = await startLeader({
+    listEvacuations: () => EvacuationList.fromPartial({ changeCount: orders }),
+    changeEvacuation: () => {
+      orders += 1
+      return orders === 1 ? undefined : EvacuationReply.fromPartial(orders === 2 ? { refusal: refusalOf(RefusalCode.Conflict) } : {})
+    }
+  })
+  const refused = await EvacuationClient.create(clientOf(address)).change({ dataCentre: 'a', evacuate: true })
+  expect(refused._unsafeUnwrapErr()).toMatchObject({ code: 'conflict', verdict: Verdict.MayHaveRun })
+  expect(orders).toBe(2)
+})
