Limit callers of a public queue to the jobs of that queue

What callers saw: a caller without a key that sent DELETE to the address of a public queue, with the identifier of a job of an account in another queue, cancelled that job; GET showed its state. Read from the code while asking whose cancelling counts, then shown by the test.

Cause: a public queue gave access to the jobs of all accounts in all queues.

Change: the access of a caller is one of three (account, queue, all), with one rule each. A public queue gives access to its own jobs, and to those of the caller's account; operators are not restricted.

Test: test/queue-calls.test.ts, "jobs of accounts are not visible by the address of a public queue that they are not in"; before the change the cancelling was carried out.

--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,7 +1,7 @@
 /** The leader's handlers of requests to queues and of the numbered queue document. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, LEADER_RETRY_MILLISECONDS, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
+  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, LEADER_RETRY_MILLISECONDS, mayAccess, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
   type AdmissionControl, type Refusal, type Route, type State, type StepJob, type StepSpecification, type Submission, type SubmissionRefusal, type SubmitSteps, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -156,10 +156,10 @@
   return outcome.map(() => ({ state: stateOf(context, route.jobIdentifier) }))
 }
 
-/** Accounts see only their own jobs; operators, and callers of a public queue, which has no accounts, see all. */
-function jobOf (context: QueueContext, { allAccounts, account, jobIdentifier }: Route): StepJob | undefined {
-  const job = context.committed().steps.jobs.get(jobIdentifier)
-  return job !== undefined && (allAccounts || job.account === account) ? job : undefined
+/** A job that the caller may not see is treated like one that does not exist. */
+function jobOf (context: QueueContext, route: Route): StepJob | undefined {
+  const job = context.committed().steps.jobs.get(route.jobIdentifier)
+  return job !== undefined && mayAccess(route, job) ? job : undefined
 }
 
 function stateOf (context: QueueContext, identifier: string): string {
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -13,7 +13,7 @@
   type NumberedDocument, type Queue, type QueueAccount, type QueueDocument, type Service
 } from './document'
 export { checkStepJob, stepJobSchema } from './specification'
-export { jobOfPath, resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
+export { JobAccess, jobOfPath, mayAccess, resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
 export { queueOfJob } from './jobs'
 export * from './pending-jobs'
 export { AccountShares } from './account-shares'
--- a/src/core/steps/routing.ts
+++ b/src/core/steps/routing.ts
@@ -3,7 +3,7 @@
 import { notRunRefusal, RefusalCode, type Refusal } from '../verdict'
 import { NO_DOCUMENT_RETRY_MILLISECONDS } from './admission/retry-times'
 import type { Queue, QueueDocument } from './document'
-import type { StepState } from './model'
+import type { StepJob, StepState } from './model'
 
 /** How a caller addresses a queue. */
 export interface QueueAddress {
@@ -22,13 +22,22 @@
   readonly job: string
 }
 
+/** Which jobs a caller may read and cancel. */
+export enum JobAccess {
+  /** Those of its account. */
+  Account = 'account',
+  /** Those of the queue, which is public, and those of its account. */
+  Queue = 'queue',
+  /** Those of all accounts and queues: an operator. */
+  All = 'all'
+}
+
 /** The target of a request, resolved against the document in force. */
 export interface Route {
   readonly queue: Queue
   /** Name of the caller's account; empty on a public queue without a known key, and for operators. */
   readonly account: string
-  /** The caller may read and cancel the jobs of all accounts. */
-  readonly allAccounts: boolean
+  readonly access: JobAccess
   /** Identifier of the addressed job, not validated: the part of the path after the queue's prefix; empty for the queue itself. */
   readonly jobIdentifier: string
 }
@@ -46,7 +55,7 @@
   if (queue === undefined) return err(notRunRefusal(RefusalCode.UnknownQueue, 'no queue has this address'))
   const account = accountOf(document, address.keyDigest)
   if (account === undefined && !queue.public) return err(notRunRefusal(RefusalCode.Unauthorized, 'the key belongs to no account'))
-  const route: Route = { queue, account: account ?? '', allAccounts: queue.public, jobIdentifier: address.path.slice(queue.prefix.length) }
+  const route: Route = { queue, account: account ?? '', access: queue.public ? JobAccess.Queue : JobAccess.Account, jobIdentifier: address.path.slice(queue.prefix.length) }
   return ok(route)
 }
 
@@ -64,8 +73,24 @@
   if (queue === undefined) return err(notRunRefusal(RefusalCode.UnknownQueue, `there is no queue ${name}`))
   const known = account === '' || queue.public || accounts.some((candidate) => candidate.name === account)
   if (!known) return err(notRunRefusal(RefusalCode.Unauthorized, `the queue document has no account ${account}`))
-  const route: Route = { queue, account, allAccounts: queue.public || account === '', jobIdentifier: job }
-  return ok(route)
+  const access = account === '' ? JobAccess.All : queue.public ? JobAccess.Queue : JobAccess.Account
+  return ok({ queue, account, access, jobIdentifier: job })
+}
+
+const accessRules: { readonly [access in JobAccess]: (caller: Pick<Route, 'queue' | 'account'>, job: StepJob) => boolean } = {
+  [JobAccess.Account]: ({ account }, job) => job.account === account,
+  [JobAccess.Queue]: ({ queue, account }, job) => job.queue.name === queue.name || job.account === account,
+  [JobAccess.All]: () => true
+}
+
+/**
+ * Tells whether a caller may read and cancel a job.
+ * @param route - the caller's request, resolved
+ * @param job - the job
+ * @returns true where it may
+ */
+export function mayAccess (route: Pick<Route, 'queue' | 'account' | 'access'>, job: StepJob): boolean {
+  return accessRules[route.access](route, job)
 }
 
 /** Where several prefixes match, the longest is chosen. */
--- a/test/queue-calls.test.ts
+++ b/test/queue-calls.test.ts
@@ -4,9 +4,10 @@
 import { handleQueueRequest, type QueueContext } from '../src/control/queue-calls'
 import { AdmissionControl, defaultWaitingLimits, notRunRefusal, RefusalCode, type WaitingLimits } from '../src/core/index'
 import { QueueOperation, QueueReply, QueueRequest } from '../src/wire'
-import { step, StepWorld } from './steps-fixture'
+import { queueDocument, step, StepWorld } from './steps-fixture'
 
 interface Leader {
+  readonly call: (operation: QueueOperation, fields: Partial<QueueRequest>) => Promise<QueueReply>
   readonly world: StepWorld
   readonly lines: Array<{ readonly event: string, readonly reason?: string }>
   readonly counted: string[]
@@ -14,8 +15,8 @@
 }
 
 /** A leader whose log commits at once; `fields` replace parts of it. */
-function leaderWith (limits: WaitingLimits, fields: (world: StepWorld) => Partial<QueueContext> = () => ({})): Leader {
-  const world = StepWorld.create([])
+function leaderWith (limits: WaitingLimits, fields: (world: StepWorld) => Partial<QueueContext> = () => ({}), document = queueDocument): Leader {
+  const world = StepWorld.create([], document)
   const [lines, counted]: [Array<{ event: string }>, string[]] = [[], []]
   const context: QueueContext = {
     now: () => world.now,
@@ -33,10 +34,11 @@
     log: (event, line) => { lines.push({ event, ...line }) },
     ...fields(world)
   }
-  const submit = async (identifier: string): Promise<QueueReply> => await handleQueueRequest(context, QueueRequest.fromPartial({
-    operation: QueueOperation.SUBMIT, queue: 'normal', account: 'two', path: identifier, jobJson: JSON.stringify({ payload: '', steps: [step()] })
+  const call = async (operation: QueueOperation, request: Partial<QueueRequest>): Promise<QueueReply> => await handleQueueRequest(context, QueueRequest.fromPartial({
+    operation, queue: 'normal', account: 'two', ...operation === QueueOperation.SUBMIT && { jobJson: JSON.stringify({ payload: '', steps: [step()] }) }, ...request
   }))
-  return { world, lines, counted, submit }
+  const submit = async (identifier: string): Promise<QueueReply> => await call(QueueOperation.SUBMIT, { path: identifier })
+  return { call, world, lines, counted, submit }
 }
 
 const oneJob: WaitingLimits = { ...defaultWaitingLimits, account: { jobs: 1, tasks: 10, bytes: 10_000 } }
@@ -81,3 +83,17 @@
   expect((await submit('first')).refusal).toMatchObject({ code: RefusalCode.QueueFull })
   expect(world.state.steps.jobs.has('first')).toBe(false)
 })
+
+// Guards against a caller without a key that cancels or reads the job of an account by the address of a public queue.
+test('jobs of accounts are not visible by the address of a public queue that they are not in', async () => {
+  const [first, ...others] = queueDocument.queues
+  const { call, submit } = leaderWith(defaultWaitingLimits, () => ({}), { ...queueDocument, queues: [{ ...first!, public: true }, ...others] })
+  await submit('private')
+  const publicAddress = { queue: '', account: '', host: 'h', path: '/urgent/private', keyDigest: '' }
+  expect((await call(QueueOperation.CANCEL, publicAddress)).refusal).toMatchObject({ code: RefusalCode.NotFound })
+  expect((await call(QueueOperation.SHOW, publicAddress)).refusal).toMatchObject({ code: RefusalCode.NotFound })
+  expect((await call(QueueOperation.SHOW, { path: 'private' })).state).toBe('queued')
+  await call(QueueOperation.SUBMIT, { ...publicAddress, path: '/urgent/open' })
+  expect((await call(QueueOperation.CANCEL, { ...publicAddress, path: '/urgent/open' })).state).toBe('cancelled')
+  expect((await call(QueueOperation.CANCEL, { queue: 'later', account: '', path: 'private' })).state).toBe('cancelled')
+})
