Refuse a job that was cancelled before its submission arrived

What callers saw: a client left without an answer and cancelled its job through another entry, which answered 410. The entry that had the submission in its receive buffer was frozen; when it woke, it handed the job in, and the job ran 3.9 s after the cancelling had been acknowledged.

Cause: the cancelling of an unknown job left nothing behind by which a copy of its submission that is still on its way could be refused. A second race has the same cause: a submission that was in the leader's log but not committed was not found either, so that its cancelling was answered with 410 and the job ran.

Ruled out: a run that was started before the cancelling (the start follows the thaw by 13 to 25 ms), and a job that was accepted before it (the 410 says that there was none). The entry could have noticed that its client had left, but the same happens with an open connection, and to copies that have left the entry.

Change: cancelling an unknown job is a log entry, committed before the 410; the log refuses a later submission of the account in that queue for 300 s with the code "cancelled". It holds wherever the submission waited, and over a change of the leader. 1,000 are kept for an account; beyond that, and where no quorum confirms it, a cancelling is not acknowledged. A repeated cancelling takes no entry.

--- a/src/client/refusals.ts
+++ b/src/client/refusals.ts
@@ -58,6 +58,8 @@
   [RefusalCode.Stopping]: RefusalScope.OneCopy,
   // The log has another request under the identifier, so it has accepted no copy of this one.
   [RefusalCode.IdentifierReused]: RefusalScope.EveryCopy,
+  // Jobs that were accepted before a host of an earlier version led may be unaware of the cancelling.
+  [RefusalCode.Cancelled]: RefusalScope.OneCopy,
   [RefusalCode.InvalidDocument]: RefusalScope.OneCopy
 }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -128,6 +128,7 @@
     stoppedClocks: () => this.machine.leads ? this.supervisors.stoppedClockCount : 0,
     unassignedRuns: () => this.machine.leads ? this.supervisors.unassignedRunCount : 0,
     revocableStarts: () => this.machine.committed.steps.revocableStarts?.reduce((sum, starts) => sum + starts.length, 0) ?? 0,
+    earlyCancellations: () => this.machine.committed.steps.earlyCancellations?.reduce((sum, { size }) => sum + size, 0) ?? 0,
     documentNumber: () => this.machine.committed.steps.document?.number ?? 0
   })
 
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -23,6 +23,7 @@
   readonly stoppedClocks: () => number
   readonly unassignedRuns: () => number
   readonly revocableStarts: () => number
+  readonly earlyCancellations: () => number
   readonly documentNumber: () => number
   readonly evacuatedDataCentres: () => number
   readonly evacuatedRuns: () => number
@@ -54,6 +55,7 @@
   stoppedClocks: 'Those of them whose agents report although their own clock stands still',
   unassignedRuns: 'Runs that workers run although the log does not assign them; should be 0',
   revocableStarts: 'Runs that ended within the last minute, starts of which are revoked at new incarnations of their worker',
+  earlyCancellations: 'Jobs that were cancelled before they were submitted, whose submission is still refused',
   documentNumber: 'Number of the numbered document in force'
 }
 
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -1,7 +1,7 @@
 /** The leader's handlers of requests to queues and of the numbered queue document. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  checkQueueDocument, checkStepJob, countPendingJobs, jobOfPath, LEADER_RETRY_MILLISECONDS, mayAccess, notRunRefusal, objectiveMilliseconds, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind,
+  checkQueueDocument, checkStepJob, countPendingJobs, earlyCancellationRefusal, isCancelledEarly, jobOfPath, LEADER_RETRY_MILLISECONDS, mayAccess, notRunRefusal, objectiveMilliseconds, queueCaller, queueOfJob, RefusalCode, resolveQueue, resolveRoute, StepTransactionKind, Verdict,
   type AdmissionControl, type Refusal, type Route, type State, type StepJob, type StepSpecification, type Submission, type SubmissionRefusal, type SubmitSteps, type Transaction
 } from '../core/index'
 import * as wire from '../wire/index'
@@ -62,7 +62,7 @@
   if (!context.leads()) return err(notLeaderRefusal)
   const route = resolveRequestRoute(context.committed(), request)
   if (route.isOk()) return await handler(context, route.value, request)
-  return await context.confirm() ? err(route.error) : err(notLeaderRefusal)
+  return await confirmed(context, route.error)
 }
 
 function resolveRequestRoute ({ steps }: State, { host, path, keyDigest, queue, account }: wire.QueueRequest): Result<Route, Refusal> {
@@ -85,18 +85,21 @@
   return ok({ state: stateOf(context, jobIdentifier) })
 }
 
+/** Refusals of a submission by the head of the log. */
+const refusalsByState: ReadonlySet<RefusalCode> = new Set([RefusalCode.QueueFull, RefusalCode.Cancelled])
+
 /** Proposes a job; once more where other submissions took the room first, but there is room again or the job was accepted meanwhile. */
 async function propose (context: QueueContext, submission: Submission): Promise<Result<void, Refusal>> {
   const { identifier, account, queue, specification } = submission
   const transaction = (): SubmitSteps => ({
-    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier, account, queue: queue.name, specification, limits: context.admission.limits
+    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier, account, queue: queue.name, specification, limits: context.admission.limits, refusedIfCancelled: true
   })
   const outcome = await context.submit(transaction())
-  if (outcome.isOk() || outcome.error.code !== RefusalCode.QueueFull) return outcome
+  if (outcome.isOk() || !refusalsByState.has(outcome.error.code)) return outcome
   const refused = await confirmedRefusal(context, submission)
   if (refused !== undefined) return err(refused)
   const second = await context.submit(transaction())
-  if (second.isOk() || second.error.code !== RefusalCode.QueueFull) return second
+  if (second.isOk() || !refusalsByState.has(second.error.code)) return second
   return await context.confirm() ? second : err(notLeaderRefusal)
 }
 
@@ -105,14 +108,22 @@
  * in the log, so that "not run" is true.
  */
 async function confirmedRefusal (context: QueueContext, submission: Submission): Promise<Refusal | undefined> {
-  const { admission, head, now } = context
-  if (admission.refusalOf(head().steps, submission, now()) === undefined) return undefined
+  if (submissionRefusal(context, submission) === undefined) return undefined
   if (!await context.confirm()) return notLeaderRefusal
-  const refused = admission.refusalOf(head().steps, submission, now())
+  const refused = submissionRefusal(context, submission)
   if (refused !== undefined) recordRefusal(context, submission, refused)
   return refused?.refusal
 }
 
+function submissionRefusal ({ admission, head, now }: QueueContext, submission: Submission): SubmissionRefusal | undefined {
+  const { identifier, account, queue } = submission
+  const { steps } = head()
+  if (steps.jobs.has(identifier)) return undefined
+  const refusal = earlyCancellationRefusal(steps, { identifier, account, queue: queue.name }, now())
+  if (refusal === undefined) return admission.refusalOf(steps, submission, now())
+  return { refusal, reason: 'cancelled-before', inputs: { retryAfterMilliseconds: refusal.retryAfter } }
+}
+
 function recordRefusal (context: QueueContext, { identifier, account, queue }: Submission, { reason, inputs }: SubmissionRefusal): void {
   context.countSubmissionRefusal(reason)
   context.log('submission-refused', { job: identifier, account, queue: queue.name, reason, ...inputs, document: context.head().steps.document?.number })
@@ -150,16 +161,40 @@
   return job === undefined ? err(unknownJobRefusal(route.jobIdentifier)) : ok({ state: job.state })
 }
 
+/**
+ * Cancels a job. A submission of it may still be on its way, so the cancelling of an unknown job is recorded before it is
+ * acknowledged; one that is recorded already needs no further entry.
+ */
 async function cancel (context: QueueContext, route: Route): Promise<QueueResult> {
-  if (jobOf(context, route) === undefined) return await context.confirm() ? err(unknownJobRefusal(route.jobIdentifier)) : err(notLeaderRefusal)
-  const outcome = await context.submit({ kind: StepTransactionKind.CancelSteps, at: context.now(), identifier: route.jobIdentifier })
-  return outcome.map(() => ({ state: stateOf(context, route.jobIdentifier) }))
+  const { jobIdentifier: identifier } = route
+  const caller = queueCaller(route)
+  if (!JOB_IDENTIFIER.test(identifier)) return await confirmed(context, unknownJobRefusal(identifier))
+  if (jobOf(context, route) === undefined && isCancelledEarly(context.committed().steps, identifier, caller, context.now())) {
+    return await confirmed(context, unknownJobRefusal(identifier))
+  }
+  const outcome = await context.submit({ kind: StepTransactionKind.CancelSteps, at: context.now(), identifier, caller })
+  if (outcome.isErr()) return await cancellingRefused(context, identifier, outcome.error)
+  const job = jobOf(context, route)
+  if (job !== undefined) return ok({ state: job.state })
+  context.log('early-cancellation', { job: identifier, account: caller.account, access: caller.access, queue: caller.queue })
+  return err(unknownJobRefusal(identifier))
+}
+
+/** A job that the caller may not cancel is reported like one that does not exist. */
+async function cancellingRefused (context: QueueContext, identifier: string, refusal: Refusal): Promise<QueueResult> {
+  if (refusal.verdict !== Verdict.NotRun) return err(refusal)
+  return await confirmed(context, refusal.code === RefusalCode.NotFound ? unknownJobRefusal(identifier) : refusal)
+}
+
+/** Returns a refusal that is based on the log, once a quorum has confirmed that no other leader can have added to it. */
+async function confirmed (context: QueueContext, refusal: Refusal): Promise<QueueResult> {
+  return err(await context.confirm() ? refusal : notLeaderRefusal)
 }
 
 /** A job that the caller may not see is treated like one that does not exist. */
 function jobOf (context: QueueContext, route: Route): StepJob | undefined {
   const job = context.committed().steps.jobs.get(route.jobIdentifier)
-  return job !== undefined && mayAccess(route, job) ? job : undefined
+  return job !== undefined && mayAccess(queueCaller(route), job) ? job : undefined
 }
 
 function stateOf (context: QueueContext, identifier: string): string {
--- a/src/core/apply.ts
+++ b/src/core/apply.ts
@@ -6,6 +6,7 @@
 import { acceptJob, cancelJobs, endAttempt, endJobs, expire, finishJob, refuse, releaseJob, reserveJob, startJob, stopJob } from './jobs'
 import type { RecordLine } from './record'
 import { cancelSteps, expireStepJobs, replaceDocument, submitSteps } from './steps/jobs'
+import { expireEarlyCancellations } from './steps/early-cancellations'
 import { finishEvacuation, startEvacuation } from './steps/evacuations'
 import { announceIncarnation, leaveIncarnation, loseIncarnation, resizeIncarnation } from './steps/incarnations'
 import { expireRevocableStarts } from './steps/revocable-starts'
@@ -44,7 +45,7 @@
   [TransactionKind.CancelJobs]: cancelJobs,
   [TransactionKind.EndJobs]: endJobs,
   [TransactionKind.Refuse]: refuse,
-  [TransactionKind.Expire]: (draft, transaction) => { expireStepJobs(draft); expireRevocableStarts(draft); return expire(draft, transaction) },
+  [TransactionKind.Expire]: (draft, transaction) => { expireStepJobs(draft); expireRevocableStarts(draft); expireEarlyCancellations(draft); return expire(draft, transaction) },
   [TransactionKind.SetHomes]: setHomes,
   [TransactionKind.ReturnWorker]: returnWorker,
   [StepTransactionKind.ReplaceDocument]: replaceDocument,
--- a/src/core/steps/index.ts
+++ b/src/core/steps/index.ts
@@ -2,6 +2,7 @@
 export {
   evacuatedDataCentres, evacuatedRuns, evacuationCount, isDataCentreName, isEvacuated, MAX_DATA_CENTRE_NAME_LENGTH, MAX_EVACUATED_DATA_CENTRES, RETURN_RAMP_MILLISECONDS, runsToAbandon, type ReportedRuns
 } from './evacuations'
+export { earlyCancellationRefusal, isCancelledEarly, MAX_EARLY_CANCELLATIONS } from './early-cancellations'
 export * from './admission/index'
 export * from './model'
 export * from './resources'
@@ -13,7 +14,7 @@
   type NumberedDocument, type Queue, type QueueAccount, type QueueDocument, type Service
 } from './document'
 export { checkStepJob, stepJobSchema } from './specification'
-export { JobAccess, jobOfPath, mayAccess, resolveQueue, resolveRoute, type NamedQueue, type QueueAddress, type Route } from './routing'
+export { JobAccess, jobOfPath, mayAccess, queueCaller, resolveQueue, resolveRoute, type QueueCaller, type NamedQueue, type QueueAddress, type Route } from './routing'
 export { queueOfJob } from './jobs'
 export * from './pending-jobs'
 export { AccountShares } from './account-shares'
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -8,16 +8,15 @@
 import { MIN_TURN_AWAY_MILLISECONDS } from './admission/retry-times'
 import { findExceededLimit } from './admission/waiting-limits'
 import { submittedSize, updateWaitingWork } from './admission/waiting-work'
+import { earlyCancellationRefusal, recordEarlyCancellation } from './early-cancellations'
 import { checkQueueDocument, type Queue, type QueueAccount, type QueueDocument } from './document'
-import { StepJobState, stepJobEnded, type JobEndReason, StopReason, type Gang, type StepJob, type StepState } from './model'
+import { RETENTION_MILLISECONDS, StepJobState, stepJobEnded, type JobEndReason, StopReason, type Gang, type StepJob, type StepState } from './model'
+import { mayAccess } from './routing'
 import { initialAccelerators, initialGangs } from './specification'
 import { StepTransactionKind, type CancelSteps, type ReplaceDocument, type SubmitSteps } from './transactions'
 
 type Outcome = Result<void, Refusal>
 
-/** Time for which the state of an ended job can still be read; longer than any deployment requires. */
-const RETENTION_MILLISECONDS = 300_000
-
 /**
  * Replaces the queue document. A document whose number is not higher than the current one has no effect.
  * @param draft - the draft being modified
@@ -49,15 +48,17 @@
 }
 
 /**
- * Accepts a job. Submitting the same identifier again has no effect, whatever waits meanwhile. The limits of waiting work are
+ * Accepts a job. Refuses one that was cancelled before. Submitting the same identifier again has no effect, whatever waits meanwhile. The limits of waiting work are
  * those of the entry, so that every control host comes to the same result; a leader of an earlier version gives none.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing, or a refusal, which leaves the state unchanged
  */
 export function submitSteps (draft: Draft, transaction: SubmitSteps): Outcome {
-  const { identifier, account, queue, specification, limits } = transaction
+  const { identifier, account, queue, specification, limits, refusedIfCancelled = false } = transaction
   if (draft.steps.jobs.has(identifier)) return ok(undefined)
+  const cancelled = refusedIfCancelled ? earlyCancellationRefusal(draft.steps, transaction, draft.at) : undefined
+  if (cancelled !== undefined) return err(cancelled)
   const found = draft.steps.document?.document.queues.find((candidate) => candidate.name === queue)
   if (found === undefined) return err(notRunRefusal(RefusalCode.UnknownQueue, `there is no queue ${queue}`))
   const submitted = { account, queue, size: submittedSize(specification) }
@@ -79,15 +80,16 @@
 }
 
 /**
- * Cancels a job. Cancelling a job that has ended has no effect.
+ * Cancels a job. Cancelling a job that has ended has no effect; one that is not known is refused when it is submitted later.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing, or a refusal, which leaves the state unchanged
  */
 export function cancelSteps (draft: Draft, transaction: CancelSteps): Outcome {
-  const { identifier } = transaction
+  const { identifier, caller } = transaction
   const job = draft.steps.jobs.get(identifier)
-  if (job === undefined) return err(notRunRefusal(RefusalCode.NotFound, `no job ${identifier}`))
+  if (job === undefined && caller !== undefined) return recordEarlyCancellation(draft, identifier, caller)
+  if (job === undefined || (caller !== undefined && !mayAccess(caller, job))) return err(notRunRefusal(RefusalCode.NotFound, `no job ${identifier}`))
   if (!stepJobEnded(job)) endStepJob(draft, job, StepJobState.Cancelled)
   return ok(undefined)
 }
--- a/src/core/steps/model.ts
+++ b/src/core/steps/model.ts
@@ -1,6 +1,7 @@
 /** Data model of step jobs: what callers request, the state of gangs and runs, and the workers' incarnations. */
 import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable'
 import type { NumberedDocument, Queue } from './document'
+import type { EarlyCancellations } from './early-cancellations'
 import type { CrashedTasks, WorkerCrash } from './crash-evidence'
 import type { RevocableStarts } from './revocable-starts'
 import type { WaitingWorkIndex } from './admission/waiting-work'
@@ -42,6 +43,9 @@
   readonly steps: readonly StepSpecification[]
 }
 
+/** Time for which the state of an ended job can still be read; longer than any deployment requires. */
+export const RETENTION_MILLISECONDS = 300_000
+
 /** State of a step job. */
 export enum StepJobState {
   Queued = 'queued',
@@ -218,6 +222,8 @@
   readonly evacuations?: EvacuationState
   /** Ended runs of which a start may still arrive at their worker; absent for none. */
   readonly revocableStarts?: RevocableStarts
+  /** Jobs that were cancelled before they were submitted; absent for none. */
+  readonly earlyCancellations?: EarlyCancellations
 }
 
 /** The zero of {@link addResources}. */
--- a/src/core/steps/routing.ts
+++ b/src/core/steps/routing.ts
@@ -32,6 +32,15 @@
   All = 'all'
 }
 
+/** A caller at a queue, as far as it decides on what it may do with jobs. */
+export interface QueueCaller {
+  /** Name of the queue. */
+  readonly queue: string
+  /** Name of the caller's account; empty on a public queue without a known key, and for operators. */
+  readonly account: string
+  readonly access: JobAccess
+}
+
 /** The target of a request, resolved against the document in force. */
 export interface Route {
   readonly queue: Queue
@@ -77,20 +86,30 @@
   return ok({ queue, account, access, jobIdentifier: job })
 }
 
-const accessRules: { readonly [access in JobAccess]: (caller: Pick<Route, 'queue' | 'account'>, job: StepJob) => boolean } = {
+/**
+ * Returns the caller of a request.
+ * @param route - the request, resolved
+ * @returns the caller, which can be stored
+ */
+export function queueCaller (route: Route): QueueCaller {
+  const { queue, account, access } = route
+  return { queue: queue.name, account, access }
+}
+
+const accessRules: { readonly [access in JobAccess]: (caller: QueueCaller, job: StepJob) => boolean } = {
   [JobAccess.Account]: ({ account }, job) => job.account === account,
-  [JobAccess.Queue]: ({ queue, account }, job) => job.queue.name === queue.name || job.account === account,
+  [JobAccess.Queue]: ({ queue, account }, job) => job.queue.name === queue || job.account === account,
   [JobAccess.All]: () => true
 }
 
 /**
  * Tells whether a caller may read and cancel a job.
- * @param route - the caller's request, resolved
+ * @param caller - the caller
  * @param job - the job
  * @returns true where it may
  */
-export function mayAccess (route: Pick<Route, 'queue' | 'account' | 'access'>, job: StepJob): boolean {
-  return accessRules[route.access](route, job)
+export function mayAccess (caller: QueueCaller, job: StepJob): boolean {
+  return accessRules[caller.access](caller, job)
 }
 
 /** Where several prefixes match, the longest is chosen. */
--- a/src/core/steps/snapshot.ts
+++ b/src/core/steps/snapshot.ts
@@ -23,6 +23,8 @@
   readonly evacuations?: StoredEvacuations
   /** By worker; absent for none. */
   readonly revocableStarts?: ReadonlyArray<readonly [string, readonly RevocableStart[]]>
+  /** By account; absent for none. */
+  readonly earlyCancellations?: ReadonlyArray<readonly [string, ReadonlyArray<readonly [string, number]>]>
 }
 
 /** The state of evacuations with the data centres as a list. */
@@ -36,7 +38,7 @@
  * @returns the stored form
  */
 export function toStoredSteps (state: StepState): StoredStepState {
-  const { document, jobs, open, incarnations, losses, evacuations, revocableStarts } = state
+  const { document, jobs, open, incarnations, losses, evacuations, revocableStarts, earlyCancellations } = state
   return {
     document,
     jobs: valuesByKey(jobs),
@@ -44,7 +46,8 @@
     lives: valuesByKey(incarnations).map((worker) => ({ ...worker, runs: valuesByKey(worker.runs) })),
     ...losses.length > 0 && { losses },
     ...evacuations !== undefined && { evacuations: { ...evacuations, dataCentres: valuesByKey(evacuations.dataCentres) } },
-    ...revocableStarts !== undefined && { revocableStarts: [...revocableStarts.entries()].sort(([one], [other]) => one < other ? -1 : 1) }
+    ...revocableStarts !== undefined && { revocableStarts: entriesByKey(revocableStarts) },
+    ...earlyCancellations !== undefined && { earlyCancellations: entriesByKey(earlyCancellations).map(([account, cancelled]) => [account, entriesByKey(cancelled)] as const) }
   }
 }
 
@@ -62,6 +65,7 @@
     incarnations: ImmutableMap(stored.lives.map((worker) => [worker.incarnation, { ...worker, runs: ImmutableMap(worker.runs.map((key) => [runName(key), key])) }])),
     ...stored.evacuations !== undefined && { evacuations: fromStoredEvacuations(stored.evacuations) },
     ...stored.revocableStarts !== undefined && { revocableStarts: ImmutableMap(stored.revocableStarts) },
+    ...stored.earlyCancellations !== undefined && { earlyCancellations: ImmutableMap(stored.earlyCancellations.map(([account, cancelled]) => [account, ImmutableMap(cancelled)])) },
     waitingWork: stored.jobs.reduce<WaitingWorkIndex>((index, job) => updateWaitingWork(index, undefined, job), ImmutableMap()),
     losses: stored.losses ?? []
   }
@@ -72,5 +76,9 @@
 }
 
 function valuesByKey<Value> (map: ImmutableMap<string, Value>): Value[] {
-  return [...map.entries()].sort(([one], [other]) => one < other ? -1 : 1).map(([, value]) => value)
+  return entriesByKey(map).map(([, value]) => value)
+}
+
+function entriesByKey<Value> (map: ImmutableMap<string, Value>): Array<[string, Value]> {
+  return [...map.entries()].sort(([one], [other]) => one < other ? -1 : 1)
 }
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -2,6 +2,7 @@
 import type { WaitingLimits } from './admission/waiting-limits'
 import type { CrashedGang, CrashSuspect } from './crash-evidence'
 import type { IncarnationDescription, IncarnationLossCause, Resources, StepJobSpecification, StopReason } from './model'
+import type { QueueCaller } from './routing'
 import type { RunKey, RunOutcome } from './run'
 
 /** Kinds of the log entries that concern step jobs. */
@@ -39,12 +40,16 @@
   readonly specification: StepJobSpecification
   /** Limits of waiting work that the leader applied; absent in entries from before there were limits. */
   readonly limits?: WaitingLimits
+  /** Whether the job is refused if it was cancelled before; absent in entries of a leader that does not know of such cancellations and has accepted it. */
+  readonly refusedIfCancelled?: boolean
 }
 
 /** Cancels a job. */
 export interface CancelSteps extends TransactionBase {
   readonly kind: StepTransactionKind.CancelSteps
   readonly identifier: string
+  /** Who cancels it. Absent in entries of earlier versions, which the leader made only for known jobs that the caller may cancel. */
+  readonly caller?: QueueCaller
 }
 
 /** Identifies one gang of a job. */
--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -31,6 +31,8 @@
   Unavailable = 'unavailable',
   Stopping = 'stopping',
   IdentifierReused = 'identifier-reused',
+  /** The job was cancelled before its submission arrived. */
+  Cancelled = 'cancelled',
   InvalidDocument = 'invalid-document'
 }
 
--- a/src/entry/refusal-answer.ts
+++ b/src/entry/refusal-answer.ts
@@ -24,6 +24,7 @@
   [RefusalCode.Unavailable]: 503,
   [RefusalCode.Stopping]: 503,
   [RefusalCode.IdentifierReused]: 409,
+  [RefusalCode.Cancelled]: 409,
   [RefusalCode.InvalidDocument]: 422
 }
 
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -78,6 +78,21 @@
   expect(await state('00000000000000d1')).toBe('cancelled')
 })
 
+// Guards against a job that starts seconds after its DELETE was answered with 410, because its submission was held up.
+test('a job whose DELETE was acknowledged before its submission arrived is refused as not accepted, and never starts', async () => {
+  expect((await fixture.call('DELETE', '00000000000000d2')).status).toBe(410)
+  const refused = await request(`http://${fixture.clientAddress}/proofs/00000000000000d2`, {
+    method: 'POST', body: JSON.stringify(job('1')), headers: { authorization: 'Token key-of-one', host: 'proofs.example', 'content-type': 'application/json' }
+  })
+  expect(refused.statusCode).toBe(503)
+  expect(Number(refused.headers['retry-after'])).toBeGreaterThan(200)
+  expect(await refused.body.json()).toEqual({ error: 'job 00000000000000d2 was cancelled before it was submitted' })
+  expect((await fixture.call('GET', '00000000000000d2')).status).toBe(410)
+  expect((await fixture.call('POST', '00000000000000d3', job('1'))).status).toBe(200)
+  await until(async () => await state('00000000000000d3') === 'completed')
+  expect(fixture.worker.observations.starts).toEqual(['00000000000000d3.0.0.0/1'])
+})
+
 test('a start whose answer is lost, or that is executed late, runs once', async () => {
   fixture.worker.faults.push(OrderFault.ResponseLost)
   await fixture.call('POST', '00000000000000e1', job('100'))
--- a/test/queue-api.test.ts
+++ b/test/queue-api.test.ts
@@ -95,6 +95,11 @@
   expect((await send(entry, 'DELETE', '/queues/proofs/jobs/b', { token: 'operator' })).json.state).toBe('cancelled')
 })
 
+test('a step job that was cancelled before it was submitted is refused with its own code', async () => {
+  expect((await send(entry, 'DELETE', '/queues/proofs/jobs/d', { token: 'hue' })).json).toMatchObject({ code: 'not-found', verdict: 'not-run' })
+  expect(await send(entry, 'POST', '/queues/proofs/jobs/d', { token: 'hue', body: job('30') })).toMatchObject({ status: 409, json: { code: 'cancelled', verdict: 'not-run', retryCanHelp: true } })
+})
+
 test('unauthorized and invalid requests are refused with their reason and change nothing', async () => {
   const attempts: Array<[string, string, string, string, unknown?]> = [
     ['no token', 'GET', '/queues/proofs', ''],
--- a/test/queue-calls.test.ts
+++ b/test/queue-calls.test.ts
@@ -1,14 +1,15 @@
 /** The leader's answers to submissions: a refusal that says "not run" must be true, and an accepted job must be acknowledged. */
 import { expect, test } from 'vitest'
-import { err, ok } from 'neverthrow'
 import { handleQueueRequest, type QueueContext } from '../src/control/queue-calls'
-import { AdmissionControl, defaultWaitingLimits, notRunRefusal, RefusalCode, type WaitingLimits } from '../src/core/index'
+import { AdmissionControl, defaultWaitingLimits, JobAccess, MAX_EARLY_CANCELLATIONS, RefusalCode, RETENTION_MILLISECONDS, StepJobState, StepTransactionKind, type Transaction, type WaitingLimits } from '../src/core/index'
 import { QueueOperation, QueueReply, QueueRequest } from '../src/wire'
 import { queueDocument, step, StepWorld } from './steps-fixture'
 
 interface Leader {
   readonly call: (operation: QueueOperation, fields: Partial<QueueRequest>) => Promise<QueueReply>
   readonly world: StepWorld
+  /** Everything that was proposed, refused or not. */
+  readonly proposed: readonly Transaction[]
   readonly lines: Array<{ readonly event: string, readonly reason?: string }>
   readonly counted: string[]
   readonly submit: (identifier: string) => Promise<QueueReply>
@@ -18,6 +19,7 @@
 function leaderWith (limits: WaitingLimits, fields: (world: StepWorld) => Partial<QueueContext> = () => ({}), document = queueDocument): Leader {
   const world = StepWorld.create([], document)
   const [lines, counted]: [Array<{ event: string }>, string[]] = [[], []]
+  const proposed: Transaction[] = []
   const context: QueueContext = {
     now: () => world.now,
     leads: () => true,
@@ -27,8 +29,8 @@
     admission: AdmissionControl.create(limits),
     countSubmissionRefusal: (reason) => { counted.push(reason) },
     submit: async (transaction) => {
-      const message = world.apply(transaction)
-      return await Promise.resolve(message === '' ? ok(undefined) : err(notRunRefusal(RefusalCode.QueueFull, message, 1_000)))
+      proposed.push(transaction)
+      return await Promise.resolve(world.propose(transaction))
     },
     confirm: async () => await Promise.resolve(true),
     log: (event, line) => { lines.push({ event, ...line }) },
@@ -38,7 +40,7 @@
     operation, queue: 'normal', account: 'two', ...operation === QueueOperation.SUBMIT && { jobJson: JSON.stringify({ payload: '', steps: [step()] }) }, ...request
   }))
   const submit = async (identifier: string): Promise<QueueReply> => await call(QueueOperation.SUBMIT, { path: identifier })
-  return { call, world, lines, counted, submit }
+  return { call, world, proposed, lines, counted, submit }
 }
 
 const oneJob: WaitingLimits = { ...defaultWaitingLimits, account: { jobs: 1, tasks: 10, bytes: 10_000 } }
@@ -76,8 +78,7 @@
     submit: async (transaction) => {
       if (takesRoom) shared.submit('other', [step()])
       takesRoom = false
-      const message = shared.apply(transaction)
-      return await Promise.resolve(message === '' ? ok(undefined) : err(notRunRefusal(RefusalCode.QueueFull, message, 1_000)))
+      return await Promise.resolve(shared.propose(transaction))
     }
   }))
   expect((await submit('first')).refusal).toMatchObject({ code: RefusalCode.QueueFull })
@@ -97,3 +98,72 @@
   expect((await call(QueueOperation.CANCEL, { ...publicAddress, path: '/urgent/open' })).state).toBe('cancelled')
   expect((await call(QueueOperation.CANCEL, { queue: 'later', account: '', path: 'private' })).state).toBe('cancelled')
 })
+
+// Guards against a job that runs although DELETE was answered with 410 while its submission was held up.
+test('a submission that arrives after its cancelling was acknowledged is refused, with the time until the identifier can be used', async () => {
+  const { call, counted, lines, submit, world } = leaderWith(defaultWaitingLimits)
+  expect((await call(QueueOperation.CANCEL, { path: 'held-up' })).refusal).toMatchObject({ code: RefusalCode.NotFound })
+  expect(lines).toContainEqual(expect.objectContaining({ event: 'early-cancellation', job: 'held-up', account: 'two', queue: 'normal' }))
+  world.now += 4_000
+  expect((await submit('held-up')).refusal).toMatchObject({ code: RefusalCode.Cancelled, retryCanHelp: true, retryAfterMilliseconds: RETENTION_MILLISECONDS - 4_000 })
+  expect(lines).toContainEqual(expect.objectContaining({ event: 'submission-refused', job: 'held-up', reason: 'cancelled-before' }))
+  expect(counted).toEqual(['cancelled-before'])
+  expect((await call(QueueOperation.SHOW, { path: 'held-up' })).refusal).toMatchObject({ code: RefusalCode.NotFound })
+})
+
+test('a job is cancelled whose submission is in the log but not committed yet when the cancelling arrives', async () => {
+  const { call, submit, world } = leaderWith(defaultWaitingLimits, (shared) => {
+    const committed = shared.state
+    let showsHead = false
+    return {
+      committed: () => showsHead ? shared.state : committed,
+      submit: async (transaction) => {
+        showsHead = transaction.kind === StepTransactionKind.CancelSteps
+        return await Promise.resolve(shared.propose(transaction))
+      }
+    }
+  })
+  await submit('in-flight')
+  expect((await call(QueueOperation.CANCEL, { path: 'in-flight' })).state).toBe(StepJobState.Cancelled)
+  expect(world.job('in-flight').state).toBe(StepJobState.Cancelled)
+})
+
+test('a submission that passes the check before the cancelling is applied is refused by the log', async () => {
+  const { submit, world } = leaderWith(defaultWaitingLimits, (shared) => ({
+    submit: async (transaction) => {
+      shared.apply({ kind: StepTransactionKind.CancelSteps, at: shared.now, identifier: 'raced', caller: { queue: 'normal', account: 'two', access: JobAccess.Account } })
+      return await Promise.resolve(shared.propose(transaction))
+    }
+  }))
+  expect((await submit('raced')).refusal).toMatchObject({ code: RefusalCode.Cancelled })
+  expect(world.state.steps.jobs.size).toBe(0)
+})
+
+test('a leader that no quorum confirms neither acknowledges the cancelling of an unknown job nor refuses a cancelled one', async () => {
+  let leads = true
+  const { call, submit } = leaderWith(defaultWaitingLimits, () => ({ confirm: async () => await Promise.resolve(leads) }))
+  await call(QueueOperation.CANCEL, { path: 'j' })
+  leads = false
+  expect((await call(QueueOperation.CANCEL, { path: 'j' })).refusal).toMatchObject({ code: RefusalCode.NotLeader })
+  expect((await submit('j')).refusal).toMatchObject({ code: RefusalCode.NotLeader })
+})
+
+test('a crowd that cancels what does not exist takes little of the log', async () => {
+  const { call, proposed, world } = leaderWith(defaultWaitingLimits)
+  for (let number = 0; number < 3 * MAX_EARLY_CANCELLATIONS; number++) {
+    await call(QueueOperation.CANCEL, { path: `j${number % 1_500}` })
+    await call(QueueOperation.CANCEL, { path: 'same' })
+    await call(QueueOperation.CANCEL, { path: 'not valid' })
+  }
+  expect(world.state.steps.earlyCancellations?.get('two')?.size).toBe(MAX_EARLY_CANCELLATIONS)
+  expect(proposed.filter(({ kind, ...fields }) => kind === StepTransactionKind.CancelSteps && 'identifier' in fields && fields.identifier === 'same')).toHaveLength(1)
+  expect((await call(QueueOperation.CANCEL, { path: 'j1499' })).refusal).toMatchObject({ code: RefusalCode.Unavailable, retryCanHelp: true })
+})
+
+test('an account that may not see a job cannot tell from its answer whether the job exists', async () => {
+  const { call, submit } = leaderWith(defaultWaitingLimits)
+  await submit('known')
+  const messages = await Promise.all(['known', 'other'].map(async (path) => (await call(QueueOperation.CANCEL, { account: 'one', path })).refusal?.message.replace(path, 'ID')))
+  expect(messages[0]).toBe(messages[1])
+  expect((await submit('known')).state).toBe('queued')
+})
--- a/test/steps-fixture.ts
+++ b/test/steps-fixture.ts
@@ -1,4 +1,5 @@
-import { apply, assessCrash, IncarnationLossCause, initialState, noResources, StepTransactionKind, type IncarnationDescription, type QueueDocument, type RecordLine, type Resources, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
+import type { Result } from 'neverthrow'
+import { apply, assessCrash, IncarnationLossCause, initialState, noResources, StepTransactionKind, type IncarnationDescription, type QueueDocument, type RecordLine, type Refusal, type Resources, type RunKey, type RunOutcome, type State, type StepJob, type StepSpecification, type StepTransaction, type Transaction } from '../src/core/index'
 
 /** A step with the given fields; a single small task by default. */
 export function step (fields: Partial<StepSpecification> = {}): StepSpecification {
@@ -39,12 +40,22 @@
     return world
   }
 
+  /** Continues from a state. */
+  static from (state: State): StepWorld {
+    return new StepWorld(state)
+  }
+
   /** Applies a transaction; returns the message of its refusal, empty where it was accepted. */
   apply (transaction: Transaction): string {
+    return this.propose(transaction).match(() => '', ({ message }) => message)
+  }
+
+  /** Applies a transaction; returns its outcome. */
+  propose (transaction: Transaction): Result<void, Refusal> {
     const { state, outcome, lines } = apply(this.state, transaction)
     this.state = state
     this.lines.push(...lines)
-    return outcome.isErr() ? outcome.error.message : ''
+    return outcome
   }
 
   submit (identifier: string, steps: readonly StepSpecification[], queueName = 'normal', account = 'two'): string {
--- a/test/unanswered-tries.test.ts
+++ b/test/unanswered-tries.test.ts
@@ -62,6 +62,7 @@
     {
       "account-closed": "may-have-run",
       "bad-request": "may-have-run",
+      "cancelled": "may-have-run",
       "conflict": "may-have-run",
       "deadline-passed": "may-have-run",
       "forbidden": "may-have-run",
