Do not handle a request whose client has closed its connection

What callers saw: a client that left without cancelling, because its entry stood still, and sent its work again under another identifier had it done twice: the entry handed in the first submission when it woke.

Cause: nothing asked whether the client was still there once its request was complete. Data that came in while a process stood still is read before the end of the connection, so the answer is known one turn of the event loop later.

Change: ServerGuard.readBody waits two turns and gives up a complete request whose connection is closed, at every server that takes bodies, and counts it (limit "abandoned"). This does not replace the early cancellations, which cover clients that cancel while their connection is open. A connection that a limit has closed no longer has its requests handled, as docs/API.md says.

Test: test/platform-path.test.ts, "a submission whose client left while the entry stood still": the test process stands still while another process sends a submission and leaves; before the change the job was accepted (200 in place of 410).

--- a/src/http/limits.ts
+++ b/src/http/limits.ts
@@ -25,7 +25,9 @@
   /** The connections of a server. */
   Connections = 'connections',
   /** The rest of a body that was refused. */
-  Remainder = 'remainder'
+  Remainder = 'remainder',
+  /** A complete request whose client had closed its connection before it was handled. */
+  Abandoned = 'abandoned'
 }
 
 /** Limits of the requests to one server. */
--- a/src/http/server-guard.ts
+++ b/src/http/server-guard.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer, type ServerOptions as TlsServerOptions } from 'node:https'
 import type { Socket } from 'node:net'
-import { ok, type Result } from 'neverthrow'
+import { setImmediate } from 'node:timers/promises'
+import { err, ok, type Result } from 'neverthrow'
 import { BodyCollector, type BodyFailure } from './body-collector'
 import { limitReachedBy } from './connection-rules'
 import { GuardedConnection, type Exchange } from './guarded-connection'
@@ -77,12 +78,18 @@
   }
 
   /**
-   * Receives the complete body of a request.
+   * Receives the complete body of a request. A client that has left by then gets no answer, and may have sent its request
+   * again or cancelled it through another host, so its request is not handled.
    * @param request - a request of this server
    * @returns the bytes, empty where there is no body; or why it was not received
    */
   async readBody (request: IncomingMessage): Promise<Result<Uint8Array, BodyFailure>> {
-    return await this.collectorOf(request)?.read() ?? ok(NO_BODY)
+    const received = await this.collectorOf(request)?.read() ?? ok(NO_BODY)
+    if (received.isErr() || !await isClosed(request.socket)) return received
+    const { readableEnded, errored } = request.socket
+    // Otherwise a limit closed the connection, and was counted.
+    if (readableEnded || errored !== null) this.count(LimitKind.Abandoned)
+    return err(abandoned)
   }
 
   /**
@@ -188,6 +195,15 @@
   }
 }
 
+const abandoned: BodyFailure = { status: 0, message: 'the connection was closed before the request was handled' }
+
+/** The end of a connection is read one turn of the event loop after its last data, which may have waited while the process stood still. */
+async function isClosed (socket: Socket): Promise<boolean> {
+  await setImmediate()
+  await setImmediate()
+  return socket.destroyed || socket.readableEnded
+}
+
 /** Bytes of a header as it is sent: each field has a colon, a space and a line end. */
 function headerBytesOf ({ method = '', url = '', rawHeaders }: IncomingMessage): number {
   let bytes = method.length + url.length + ' HTTP/1.1\r\n\r\n'.length
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -1,3 +1,6 @@
+import { execFileSync } from 'node:child_process'
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { request } from 'undici'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { OrderFault } from '../stand-ins'
@@ -93,6 +96,25 @@
   expect(fixture.worker.observations.starts).toEqual(['00000000000000d3.0.0.0/1'])
 })
 
+// Guards against a submission that an entry hands in after it stood still, although its client left meanwhile.
+test('a submission whose client left while the entry stood still is not handed in, and one whose client waits is', async () => {
+  const [ip, port] = fixture.clientAddress.split(':')
+  const [leaving, waiting] = ['00000000000000d4', '00000000000000d5'].map((identifier) => {
+    const body = JSON.stringify(job('1'))
+    return `POST /proofs/${identifier} HTTP/1.1\r\nhost: proofs.example\r\nauthorization: Token key-of-one\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+  })
+  const connection = connect(Number(port), ip)
+  await once(connection, 'connect')
+  connection.write(waiting!)
+  // The event loop of this process, and with it the entry, stands still while the other client comes and leaves.
+  const script = `const socket = require('net').connect(${port}, '${ip}', () => socket.end(${JSON.stringify(leaving)}, () => socket.destroy()))`
+  execFileSync(process.execPath, ['-e', script])
+  await until(async () => await state('00000000000000d5') === 'completed')
+  expect((await fixture.call('GET', '00000000000000d4')).status).toBe(410)
+  expect(fixture.worker.observations.starts).toEqual(['00000000000000d5.0.0.0/1'])
+  connection.destroy()
+})
+
 test('a start whose answer is lost, or that is executed late, runs once', async () => {
   fixture.worker.faults.push(OrderFault.ResponseLost)
   await fixture.call('POST', '00000000000000e1', job('100'))
