Check early cancellations before a submission is proposed, not when it is applied

Change: Machine.submit takes a precondition that the leader checks on the head state right before it applies the transaction. What is in the log is applied by every host.

Tests: test/machine.test.ts "a precondition is checked on the head"; in test/early-cancellations.test.ts "a job that a leader without the cancellations has accepted" replaces the test of the field, and holds for every entry of a submission.

--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -383,7 +383,7 @@
       leader: () => this.replica.leaderAddress() ?? '',
       committed: () => this.machine.committed,
       head: () => this.machine.head,
-      submit: (transaction) => this.machine.submit(transaction),
+      submit: (transaction, precondition) => this.machine.submit(transaction, precondition),
       confirm: () => this.confirm(),
       admission: this.admission,
       countSubmissionRefusal: (reason) => { this.metrics.countSubmissionRefusal(reason) },
--- a/src/control/machine.ts
+++ b/src/control/machine.ts
@@ -30,8 +30,12 @@
   readonly onRefusedDecision: (transaction: Transaction, refusal: Refusal) => void
 }
 
+/** Returns why a transaction must not be proposed on a head state; undefined where it may be. */
+export type Precondition = (head: State) => Refusal | undefined
+
 interface QueuedTransaction {
   readonly transaction: Transaction
+  readonly precondition?: Precondition
   readonly settle: (outcome: Result<void, Refusal>) => void
 }
 
@@ -87,12 +91,13 @@
   /**
    * Submits a transaction.
    * @param transaction - the transaction to propose
+   * @param precondition - checked on the head state to which the transaction would be applied; hosts that only follow do not check it
    * @returns resolves when its entry is committed or the transaction is refused; an unknown outcome is a refusal with MayHaveRun
    */
-  submit (transaction: Transaction): Promise<Result<void, Refusal>> {
+  submit (transaction: Transaction, precondition?: Precondition): Promise<Result<void, Refusal>> {
     if (!this.leading) return Promise.resolve(err(notRunRefusal(RefusalCode.NotLeader, 'this control host does not lead')))
     return new Promise((resolve) => {
-      this.queue.push({ transaction, settle: resolve })
+      this.queue.push({ transaction, precondition, settle: resolve })
       this.wake()
     })
   }
@@ -153,6 +158,8 @@
       return result
     }
     for (const item of this.queue.splice(0)) {
+      const refusal = item.precondition?.(this.headState)
+      if (refusal !== undefined) { item.settle(err(refusal)); continue }
       const { outcome } = applyToHead(item.transaction)
       if (outcome.isErr()) { item.settle(outcome); continue }
       settle.push(() => { item.settle(ok(undefined)) })
--- a/src/control/queue-calls.ts
+++ b/src/control/queue-calls.ts
@@ -6,6 +6,7 @@
 } from '../core/index'
 import * as wire from '../wire/index'
 import { toWireRefusal } from './convert'
+import type { Precondition } from './machine'
 
 /** What the handlers need of their control host. */
 export interface QueueContext {
@@ -18,7 +19,7 @@
   readonly admission: AdmissionControl
   /** Counts a job that was not accepted, by reason. */
   readonly countSubmissionRefusal: (reason: string) => void
-  readonly submit: (transaction: Transaction) => Promise<Result<void, Refusal>>
+  readonly submit: (transaction: Transaction, precondition?: Precondition) => Promise<Result<void, Refusal>>
   /** Confirms leadership with a quorum; false where no quorum confirms it. */
   readonly confirm: () => Promise<boolean>
   readonly log: (event: string, fields: object) => void
@@ -85,21 +86,22 @@
   return ok({ state: stateOf(context, jobIdentifier) })
 }
 
-/** Refusals of a submission by the head of the log. */
-const refusalsByState: ReadonlySet<RefusalCode> = new Set([RefusalCode.QueueFull, RefusalCode.Cancelled])
+/** Refusals that depend on the other entries of the head. */
+const refusalsByHead: ReadonlySet<RefusalCode> = new Set([RefusalCode.QueueFull, RefusalCode.Cancelled])
 
 /** Proposes a job; once more where other submissions took the room first, but there is room again or the job was accepted meanwhile. */
 async function propose (context: QueueContext, submission: Submission): Promise<Result<void, Refusal>> {
   const { identifier, account, queue, specification } = submission
   const transaction = (): SubmitSteps => ({
-    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier, account, queue: queue.name, specification, limits: context.admission.limits, refusedIfCancelled: true
+    kind: StepTransactionKind.SubmitSteps, at: context.now(), identifier, account, queue: queue.name, specification, limits: context.admission.limits
   })
-  const outcome = await context.submit(transaction())
-  if (outcome.isOk() || !refusalsByState.has(outcome.error.code)) return outcome
+  const submit = async (): Promise<Result<void, Refusal>> => await context.submit(transaction(), (head) => earlyCancellation(context, head, submission))
+  const outcome = await submit()
+  if (outcome.isOk() || !refusalsByHead.has(outcome.error.code)) return outcome
   const refused = await confirmedRefusal(context, submission)
   if (refused !== undefined) return err(refused)
-  const second = await context.submit(transaction())
-  if (second.isOk() || !refusalsByState.has(second.error.code)) return second
+  const second = await submit()
+  if (second.isOk() || !refusalsByHead.has(second.error.code)) return second
   return await context.confirm() ? second : err(notLeaderRefusal)
 }
 
@@ -115,15 +117,18 @@
   return refused?.refusal
 }
 
-function submissionRefusal ({ admission, head, now }: QueueContext, submission: Submission): SubmissionRefusal | undefined {
-  const { identifier, account, queue } = submission
-  const { steps } = head()
-  if (steps.jobs.has(identifier)) return undefined
-  const refusal = earlyCancellationRefusal(steps, { identifier, account, queue: queue.name }, now())
-  if (refusal === undefined) return admission.refusalOf(steps, submission, now())
+function submissionRefusal (context: QueueContext, submission: Submission): SubmissionRefusal | undefined {
+  const { admission, head, now } = context
+  const refusal = earlyCancellation(context, head(), submission)
+  if (refusal === undefined) return admission.refusalOf(head().steps, submission, now())
   return { refusal, reason: 'cancelled-before', inputs: { retryAfterMilliseconds: refusal.retryAfter } }
 }
 
+/** Returns the refusal of a job that was cancelled before; undefined for one that was not, or that was accepted all the same. */
+function earlyCancellation ({ now }: QueueContext, { steps }: State, { identifier, account, queue }: Submission): Refusal | undefined {
+  return steps.jobs.has(identifier) ? undefined : earlyCancellationRefusal(steps, { identifier, account, queue: queue.name }, now())
+}
+
 function recordRefusal (context: QueueContext, { identifier, account, queue }: Submission, { reason, inputs }: SubmissionRefusal): void {
   context.countSubmissionRefusal(reason)
   context.log('submission-refused', { job: identifier, account, queue: queue.name, reason, ...inputs, document: context.head().steps.document?.number })
--- a/src/core/steps/jobs.ts
+++ b/src/core/steps/jobs.ts
@@ -8,7 +8,7 @@
 import { MIN_TURN_AWAY_MILLISECONDS } from './admission/retry-times'
 import { findExceededLimit } from './admission/waiting-limits'
 import { submittedSize, updateWaitingWork } from './admission/waiting-work'
-import { earlyCancellationRefusal, recordEarlyCancellation } from './early-cancellations'
+import { recordEarlyCancellation } from './early-cancellations'
 import { checkQueueDocument, type Queue, type QueueAccount, type QueueDocument } from './document'
 import { RETENTION_MILLISECONDS, StepJobState, stepJobEnded, type JobEndReason, StopReason, type Gang, type StepJob, type StepState } from './model'
 import { mayAccess } from './routing'
@@ -48,17 +48,15 @@
 }
 
 /**
- * Accepts a job. Refuses one that was cancelled before. Submitting the same identifier again has no effect, whatever waits meanwhile. The limits of waiting work are
+ * Accepts a job. Submitting the same identifier again has no effect, whatever waits meanwhile. The limits of waiting work are
  * those of the entry, so that every control host comes to the same result; a leader of an earlier version gives none.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing, or a refusal, which leaves the state unchanged
  */
 export function submitSteps (draft: Draft, transaction: SubmitSteps): Outcome {
-  const { identifier, account, queue, specification, limits, refusedIfCancelled = false } = transaction
+  const { identifier, account, queue, specification, limits } = transaction
   if (draft.steps.jobs.has(identifier)) return ok(undefined)
-  const cancelled = refusedIfCancelled ? earlyCancellationRefusal(draft.steps, transaction, draft.at) : undefined
-  if (cancelled !== undefined) return err(cancelled)
   const found = draft.steps.document?.document.queues.find((candidate) => candidate.name === queue)
   if (found === undefined) return err(notRunRefusal(RefusalCode.UnknownQueue, `there is no queue ${queue}`))
   const submitted = { account, queue, size: submittedSize(specification) }
@@ -80,7 +78,8 @@
 }
 
 /**
- * Cancels a job. Cancelling a job that has ended has no effect; one that is not known is refused when it is submitted later.
+ * Cancels a job. Cancelling a job that has ended has no effect. One that is not known is noted, and the leader refuses it if
+ * it is submitted later.
  * @param draft - the draft being modified
  * @param transaction - the log entry
  * @returns nothing, or a refusal, which leaves the state unchanged
--- a/src/core/steps/transactions.ts
+++ b/src/core/steps/transactions.ts
@@ -40,8 +40,6 @@
   readonly specification: StepJobSpecification
   /** Limits of waiting work that the leader applied; absent in entries from before there were limits. */
   readonly limits?: WaitingLimits
-  /** Whether the job is refused if it was cancelled before; absent in entries of a leader that does not know of such cancellations and has accepted it. */
-  readonly refusedIfCancelled?: boolean
 }
 
 /** Cancels a job. */
--- a/test/early-cancellations.test.ts
+++ b/test/early-cancellations.test.ts
@@ -1,6 +1,6 @@
 /** Jobs that are cancelled before their submission arrives, in the replicated state. */
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { decodeState, encodeState, JobAccess, MAX_EARLY_CANCELLATIONS, RETENTION_MILLISECONDS, stateDigest, StepJobState, StepTransactionKind, TransactionKind, type QueueCaller } from '../src/core/index'
+import { decodeState, earlyCancellationRefusal, encodeState, JobAccess, MAX_EARLY_CANCELLATIONS, RETENTION_MILLISECONDS, stateDigest, StepJobState, StepTransactionKind, TransactionKind, type QueueCaller } from '../src/core/index'
 import { step, StepWorld } from './steps-fixture'
 
 const own: QueueCaller = { queue: 'normal', account: 'two', access: JobAccess.Account }
@@ -13,8 +13,9 @@
   return world.apply({ kind: StepTransactionKind.CancelSteps, at: world.now, identifier, caller })
 }
 
-function submit (identifier: string, account = 'two', queue = 'normal', refusedIfCancelled = true): string {
-  return world.apply({ kind: StepTransactionKind.SubmitSteps, at: world.now, identifier, account, queue, specification: { payload: '', steps: [step()] }, refusedIfCancelled })
+/** Submits a job as the leader does. */
+function submit (identifier: string, account = 'two', queue = 'normal'): string {
+  return earlyCancellationRefusal(world.state.steps, { identifier, account, queue }, world.now)?.message ?? world.submit(identifier, [step()], queue, account)
 }
 
 const wasCancelled = 'job j was cancelled before it was submitted'
@@ -78,10 +79,10 @@
   expect(world.job('j').state).toBe(StepJobState.Cancelled)
 })
 
-test('entries of an earlier version, whose leader knows no such cancellations, are applied as that version applies them', () => {
+test('a job that a leader without the cancellations has accepted, as one of an earlier version, is accepted by every host', () => {
   expect(world.apply({ kind: StepTransactionKind.CancelSteps, at: world.now, identifier: 'j' })).toBe('no job j')
   cancel('j')
-  expect(submit('j', 'two', 'normal', false)).toBe('')
+  expect(world.submit('j', [step()])).toBe('')
   expect(world.job('j').state).toBe(StepJobState.Queued)
 })
 
--- a/test/machine.test.ts
+++ b/test/machine.test.ts
@@ -2,7 +2,7 @@
 import { err, ok } from 'neverthrow'
 import { expect, test } from 'vitest'
 import { Machine, type EntryPosition } from '../src/control/machine'
-import { decide, EffectKind, stateDigest, TransactionKind, Verdict, type Effect, type Transaction } from '../src/core/index'
+import { decide, EffectKind, notRunRefusal, RefusalCode, stateDigest, TransactionKind, Verdict, type Effect, type Refusal, type State, type Transaction } from '../src/core/index'
 
 /** A log that commits only on request and stops accepting proposals when leadership is lost. */
 class FakeLog {
@@ -153,3 +153,15 @@
   log.runScheduled()
   expect(log.proposed.some((effect) => effect.kind === EffectKind.Reserve)).toBe(true)
 })
+
+test('a precondition is checked on the head with everything submitted before it, and what fails it is not proposed', async () => {
+  const log = new FakeLog()
+  log.machine.setLeading(true)
+  const refusal = notRunRefusal(RefusalCode.Conflict, 'there is a worker')
+  const whileEmpty = (head: State): Refusal | undefined => head.workers.size === 0 ? undefined : refusal
+  const outcomes = Promise.all([log.machine.submit(announce('first'), whileEmpty), log.machine.submit(announce('second'), whileEmpty)])
+  log.runScheduled()
+  log.commit()
+  expect(await outcomes).toEqual([ok(undefined), err(refusal)])
+  expect([...log.machine.committed.workers.keys()]).toEqual(['first'])
+})
--- a/test/queue-calls.test.ts
+++ b/test/queue-calls.test.ts
@@ -1,7 +1,9 @@
 /** The leader's answers to submissions: a refusal that says "not run" must be true, and an accepted job must be acknowledged. */
+import { err, type Result } from 'neverthrow'
 import { expect, test } from 'vitest'
+import type { Precondition } from '../src/control/machine'
 import { handleQueueRequest, type QueueContext } from '../src/control/queue-calls'
-import { AdmissionControl, defaultWaitingLimits, JobAccess, MAX_EARLY_CANCELLATIONS, RefusalCode, RETENTION_MILLISECONDS, StepJobState, StepTransactionKind, type Transaction, type WaitingLimits } from '../src/core/index'
+import { AdmissionControl, defaultWaitingLimits, JobAccess, MAX_EARLY_CANCELLATIONS, RefusalCode, RETENTION_MILLISECONDS, StepJobState, StepTransactionKind, type Refusal, type Transaction, type WaitingLimits } from '../src/core/index'
 import { QueueOperation, QueueReply, QueueRequest } from '../src/wire'
 import { queueDocument, step, StepWorld } from './steps-fixture'
 
@@ -15,6 +17,12 @@
   readonly submit: (identifier: string) => Promise<QueueReply>
 }
 
+/** Proposes a transaction as the state machine of a leader does. */
+function proposeIf (world: StepWorld, transaction: Transaction, precondition?: Precondition): Result<void, Refusal> {
+  const refusal = precondition?.(world.state)
+  return refusal === undefined ? world.propose(transaction) : err(refusal)
+}
+
 /** A leader whose log commits at once; `fields` replace parts of it. */
 function leaderWith (limits: WaitingLimits, fields: (world: StepWorld) => Partial<QueueContext> = () => ({}), document = queueDocument): Leader {
   const world = StepWorld.create([], document)
@@ -28,9 +36,9 @@
     head: () => world.state,
     admission: AdmissionControl.create(limits),
     countSubmissionRefusal: (reason) => { counted.push(reason) },
-    submit: async (transaction) => {
+    submit: async (transaction, precondition) => {
       proposed.push(transaction)
-      return await Promise.resolve(world.propose(transaction))
+      return await Promise.resolve(proposeIf(world, transaction, precondition))
     },
     confirm: async () => await Promise.resolve(true),
     log: (event, line) => { lines.push({ event, ...line }) },
@@ -128,11 +136,11 @@
   expect(world.job('in-flight').state).toBe(StepJobState.Cancelled)
 })
 
-test('a submission that passes the check before the cancelling is applied is refused by the log', async () => {
+test('a submission that passes the first check before the cancelling is applied is not proposed', async () => {
   const { submit, world } = leaderWith(defaultWaitingLimits, (shared) => ({
-    submit: async (transaction) => {
+    submit: async (transaction, precondition) => {
       shared.apply({ kind: StepTransactionKind.CancelSteps, at: shared.now, identifier: 'raced', caller: { queue: 'normal', account: 'two', access: JobAccess.Account } })
-      return await Promise.resolve(shared.propose(transaction))
+      return await Promise.resolve(proposeIf(shared, transaction, precondition))
     }
   }))
   expect((await submit('raced')).refusal).toMatchObject({ code: RefusalCode.Cancelled })
