--- a/measurements/capacity-state.ts
+++ b/measurements/capacity-state.ts
@@ -1,7 +1,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import {
-  apply, decodeState, encodeState, encodeStateInChunks, encodeTransactions, initialState, Level, RemovalRule, stateDigest, TransactionKind, Urgency,
+  apply, decodeState, encodeState, encodeStateInChunks, encodeTransactions, initialState, JobAccess, Level, MAX_EARLY_CANCELLATIONS, RemovalRule, stateDigest, StepTransactionKind, TransactionKind, Urgency,
   type JobSpecification, type State, type Transaction
 } from '../src/core/index'
 
@@ -25,6 +25,9 @@
   readonly recordLinesPerJob: number
   readonly recordBytesPerPut: number
   readonly applyMicrosecondsPerEntry: number
+  readonly bytesPerEarlyCancellation: number
+  readonly heapBytesPerEarlyCancellation: number
+  readonly logBytesPerEarlyCancellation: number
 }
 
 /** Size and snapshot times of a state of the design size. */
@@ -106,6 +109,11 @@
   return { kind: TransactionKind.FinishJob, at: 13, job, attempt: 1, worker: workerName(worker), answer }
 }
 
+/** Cancels a step job that was not submitted, with an identifier of 16 digits. */
+function cancelUnknown (position: number): Transaction {
+  return { kind: StepTransactionKind.CancelSteps, at: 14, identifier: position.toString(16).padStart(16, '0'), caller: { queue: 'proofs', account: 'team-01', access: JobAccess.Account } }
+}
+
 function heapUsed (): number {
   collectGarbage()
   return process.memoryUsage().heapUsed
@@ -159,6 +167,9 @@
     metered.apply(startJob('gang'))
     metered.apply(finishJob('gang', 0))
   })
+  const [withGang, heapGang] = [metered.state, heapUsed()]
+  const cancellations = measureBytes(metered, () => { for (let position = 0; position < MAX_EARLY_CANCELLATIONS; position++) metered.apply(cancelUnknown(position)) })
+  const heapCancellations = heapUsed()
   return {
     bytesPerWorker: stateBytesPerItem(empty, withWorkers, WORKERS),
     bytesPerQueuedJob: stateBytesPerItem(withPuts, withQueued, SAMPLE_JOBS),
@@ -174,7 +185,10 @@
     recordBytesPerJob: ended.recordBytes / SAMPLE_JOBS,
     recordLinesPerJob: ended.lines / SAMPLE_JOBS,
     recordBytesPerPut: puts.recordBytes / 100,
-    applyMicrosecondsPerEntry: applyMilliseconds * 1_000 / (metered.entries - entriesBefore - 4)
+    applyMicrosecondsPerEntry: applyMilliseconds * 1_000 / (metered.entries - entriesBefore - 4 - MAX_EARLY_CANCELLATIONS),
+    bytesPerEarlyCancellation: stateBytesPerItem(withGang, metered.state, MAX_EARLY_CANCELLATIONS),
+    heapBytesPerEarlyCancellation: (heapCancellations - heapGang) / MAX_EARLY_CANCELLATIONS,
+    logBytesPerEarlyCancellation: cancellations.logBytes / MAX_EARLY_CANCELLATIONS
   }
 }
 
