--- a/test/queue-simulation.ts
+++ b/test/queue-simulation.ts
@@ -89,7 +89,7 @@
       head: () => this.machine.head,
       admission: this.admission,
       countSubmissionRefusal: () => {},
-      submit: async (transaction) => await this.machine.submit(transaction),
+      submit: async (transaction, precondition) => await this.machine.submit(transaction, precondition),
       confirm: async () => {
         await after(this.cluster.random.integer(1, 10))
         return this.cluster.leader === this
@@ -196,7 +196,7 @@
   async run (callers: number): Promise<void> {
     const { random } = this
     await vi.advanceTimersByTimeAsync(10)
-    await this.finish(this.newClient().replaceDocument(1, fullDocument, ''), 1_000)
+    await this.installDocument()
     const faults = Array.from({ length: random.integer(1, 2) }, () => random.integer(100, FAULTS_MILLISECONDS))
     for (const [fault, at] of faults.entries()) {
       this.later(at, async () => { await this.replaceLeader() })
@@ -274,8 +274,10 @@
     setTimeout(() => { void run() }, milliseconds)
   }
 
-  private async finish (work: Promise<unknown>, milliseconds: number): Promise<void> {
-    await vi.advanceTimersByTimeAsync(milliseconds)
-    await work
+  /** Puts the first document in force, however long its calls are held up. */
+  private async installDocument (): Promise<void> {
+    const isInstalled = (): boolean => this.cluster.leader.machine.committed.steps.document !== undefined
+    this.later(0, async () => { while (!isInstalled()) await this.newClient().replaceDocument(1, fullDocument, '') })
+    while (!isInstalled()) await vi.advanceTimersByTimeAsync(100)
   }
 }
