--- a/review/shared-3/harness.mjs
+++ b/review/shared-3/harness.mjs
@@ -15,6 +15,8 @@
 const port = { inner: 7000, clients: 8521, readiness: 8523, control: 8526, metrics: 9464, worker: 8600 }
 const bounds = { grace_s: 6, hold_max_ms: 6000, stop_ms: 200, heartbeat_ms: 1500 }
 
+const RESTART_DELAY_MILLISECONDS = 1_000
+
 export const sleep = (milliseconds) => new Promise((resolve) => { setTimeout(resolve, milliseconds) })
 
 /** The record of one run of a case. */
@@ -117,6 +119,7 @@
       this.running = false
       this.ends.push({ code, signal, wanted: this.killed })
       record.write(name, 'process ended', { code, signal, wanted: this.killed })
+      if (!this.killed && this.deployment.restarts) setTimeout(() => { if (this.deployment.restarts) this.start() }, RESTART_DELAY_MILLISECONDS)
     })
     record.write(name, 'process started', { founding })
   }
@@ -191,7 +194,11 @@
     return found?.control
   }
 
+  /** From now on, as the platform does, a process that ends by itself is started again after a short delay. */
+  restartEnded () { this.restarts = true }
+
   async stop () {
+    this.restarts = false
     for (const worker of this.workers) worker.close()
     for (const { running, child } of this.processes) if (running) { child.kill('SIGCONT'); child.kill('SIGKILL') }
     const deadline = performance.now() + 5000
@@ -239,13 +246,13 @@
     this.leaseUntil = 0
     this.sequence = 0
     this.waiters = []
-    const server = createServer((incoming, outgoing) => { void this.respond(incoming, outgoing) })
+    const server = createServer((incoming, outgoing) => { this.respond(incoming, outgoing) })
     this.server = server
     await new Promise((resolve, reject) => { server.once('error', reject); server.listen(port.worker, this.ip, resolve) })
     this.up = true
     this.record.write(this.name, 'worker up', { born: this.born })
-    void this.beat()
-    this.beats = setInterval(() => { void this.beat() }, bounds.heartbeat_ms)
+    this.beat()
+    this.beats = setInterval(() => { this.beat() }, bounds.heartbeat_ms)
     this.leases = setInterval(() => { if (this.clock > this.leaseUntil) for (const name of [...this.runs.keys()]) this.end(name, 'lapsed') }, 20)
   }
 
@@ -359,7 +366,7 @@
   record.write('case', trouble ? 'with the disruption' : 'without the disruption')
   let code = 2
   let deployment
-  const limit = setTimeout(() => { record.write('case', 'took too long'); void finish(2) }, 110_000)
+  const limit = setTimeout(() => { record.write('case', 'took too long'); finish(2) }, 110_000)
   const finish = async (result) => {
     clearTimeout(limit)
     await deployment?.stop()
