--- a/review/shared-3/load.mjs
+++ b/review/shared-3/load.mjs
@@ -8,10 +8,10 @@
 
 /**
  * Plays the load.
- * @param options - `burst`: jobs of the first tenant that come at once; `spread`: jobs of the first tenant that come one after
- *   the other, evenly; each a number of subtasks. The second tenant submits one small job each half second.
+ * @param options - `times`: when the first tenant submits a job, in milliseconds, and of how many subtasks. The second tenant
+ *   submits one small job each half second.
  */
-export async function playLoad ({ deployment, record }, { seconds, burst = [], spread = [], cpu, milliseconds, checkSeconds }) {
+export async function playLoad ({ deployment, record }, { seconds, times, cpu, milliseconds, checkSeconds }) {
   await deployment.start(configOf(1))
   await sleep(2_000)
   const accepted = new Map()
@@ -37,14 +37,10 @@
   const smallJobs = async () => {
     for (let at = 0; at < 1_000 * seconds; at += 500) { await until(at); open.push(submit('key-of-tenant-two', 1, smallCpu)) }
   }
-  const spreadJobs = async () => {
-    for (const [index, count] of spread.entries()) { await until(2_000 + index * (1_000 * seconds - 2_000) / spread.length); open.push(submit('key-of-tenant-one', count, cpu)) }
+  const timedJobs = async () => {
+    for (const [at, count] of times) { await until(at); open.push(submit('key-of-tenant-one', count, cpu)) }
   }
-  const burstJobs = async () => {
-    await until(2_000)
-    for (const count of burst) open.push(submit('key-of-tenant-one', count, cpu))
-  }
-  await Promise.all([smallJobs(), spreadJobs(), burstJobs()])
+  await Promise.all([smallJobs(), timedJobs()])
   await Promise.all(open)
   record.write('case', 'the traffic has ended', { accepted: accepted.size })
   await sleep(finishMilliseconds)
